--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,839 @@
+//! The decisions of mallowseam: which block I/O goes to its storage node, when, and which is turned away.
+//!
+//! Make a `Scheduler` with the deployment's `Terms`, then call `listed`, `take`, `ended`, `gone`, `probed`,
+//! `heard` and `woken` as things happen, each with the time and the `Host` that carries the answers out.
+//! Host, terms and index types are in `host.rs`; `docs/design.md` tells what follows the paper and what departs.
+
+use crate::host::*;
+use crate::ledger::Ledger;
+use crate::pcg::Pcg;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const SECOND: f64 = 10_000.0; // ticks in a second
+const WINDOW: Tick = 1_000; // ticks: the design's window of 0.1 s
+const ALPHA: f64 = 0.5; // share of history an idle volume keeps (design)
+const THROTTLE_WT: f64 = 2.0; // a held unit counts as two used: more will follow (design)
+const POOL: f64 = 0.05; // share of a node's budget kept for volumes that return (design)
+const BUDGET_START: f64 = 4.0; // mean block I/Os a window beyond the bases seen (design)
+const BUDGET_STEP: f64 = 0.05; // growth of the budget a window: doubles in 1.5 s
+const MULT_UP: f64 = 1.15; // a block I/O in four is beyond twice the median by chance alone,
+const MULT_DOWN: f64 = 0.955; // so that these two cancel out on a steady node
+const MULT_RANGE: (f64, f64) = (0.25, 4.0); // bounds of the delay multiplier (design)
+const RECENT: usize = 32; // answers in a node's median: about a second's worth
+const WT_MAX: f64 = 32.0; // submits out at one node, at most (design)
+const WT_START: f64 = 2.0; // submits out at a node not yet known: one in work, one waiting
+const WIDEN_BELOW: f64 = 0.30; // of the shortest latency goal: a wait below it leaves room at the node
+const NARROW_ABOVE: f64 = 0.45; // of the same: the rest of the goal is for what waits here
+const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
+const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
+const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
+const ASK_FIRST: u64 = 2_000; // ticks: hosts that start together ask the list spread over this
+const ASK_MOST: Tick = 80_000; // ticks: the longest wait between failed calls to the list
+const IDLE_VOLUME: Tick = 100_000; // ticks: a volume unseen this long is forgotten, once its store is full
+
+/// A plan, as far as decisions go: rates are one host's, per tick, for a volume on one host.
+struct Plan {
+    reserve: f64,
+    limit: f64,
+    burst: f64,
+    wt: f64,
+    price: f64,
+}
+
+struct IoGroup {
+    effect: Effect,
+    goal: Tick,
+    late: f64,
+    gain: f64,
+    ordered: bool,
+    submits: u32,
+}
+
+struct Cold {
+    part: f64,
+    from: f64,
+    span: Tick,
+    fall: Tick,
+}
+
+struct Volume {
+    plan: usize,
+    hosts: f64,
+    store: f64,
+    reserve: f64,
+    filled: Tick,
+    seen: Tick,
+    in_hand: u32,
+}
+
+/// One volume at one node: the design's allocation.
+struct Share {
+    vol: VolId,
+    alloc: f64,
+    used: f64,
+    held: f64,
+    hist: f64,
+    burst: bool,
+}
+
+#[derive(Default)]
+struct Node {
+    shard: u32,
+    zone: u32,
+    open: bool,
+    came_up: Tick,
+    first_ok: Tick,
+    sent: Ledger,
+    out: u32,
+    wt: f64,
+    mult: f64,
+    recent: Vec<f64>,
+    recent_at: usize,
+    median: f64,
+    lat: f64,
+    extra: f64,
+    pool: f64,
+    used: f64,
+    held: Vec<BioId>,
+    shares: Vec<Share>,
+}
+
+/// What a block I/O does with the outcome of its submit.
+type Step = fn(&mut Scheduler, &mut dyn Host, Tick, BioId, &Outcome);
+
+#[derive(Clone, Copy)]
+struct Slot {
+    bio: Bio,
+    node: Option<NodeId>,
+    goal: Tick,
+    submits: u32,
+    out: bool,
+    over: bool,
+    drew: bool,
+    ran: Option<(Tick, NodeId)>,
+    next_of_key: Option<BioId>,
+    step: Step,
+}
+
+/// A key in use: the first of its ordered block I/Os, all that name it, and until when it rests.
+#[derive(Clone, Copy, Default)]
+struct Key {
+    head: Option<BioId>,
+    users: u32,
+    rest: Tick,
+}
+
+impl Volume {
+    /// Lets the parts that fall to one host fill up: of the limit, and of the reserve with a second of it.
+    fn fill(&mut self, now: Tick, plan: &Plan, largest: f64) {
+        let span = (now - self.filled) as f64;
+        self.filled = now;
+        self.store = (self.store + span * plan.limit / self.hosts).min(plan.burst / self.hosts);
+        let most = (plan.reserve * SECOND + largest) / self.hosts;
+        self.reserve = (self.reserve + span * plan.reserve / self.hosts).min(most);
+    }
+}
+
+pub struct Scheduler {
+    plans: Vec<Plan>,
+    groups: Vec<IoGroup>,
+    mean_units: f64,
+    largest: f64,
+    share_gain: f64,
+    spare_gain: f64,
+    short_goal: f64,
+    cold: Cold,
+    budget: (f64, f64, Tick),
+    order_rest: Tick,
+    may_cancel: bool,
+    return_after: Tick,
+    on_request: bool,
+    pcg: Pcg,
+    born: Tick,
+    nodes: Vec<Node>,
+    volumes: Vec<Option<Volume>>,
+    keys: Vec<Key>,
+    resting: Vec<KeyId>,
+    slots: Vec<Option<Slot>>,
+    taken: Ledger,
+    further: Ledger,
+    alarms: BinaryHeap<Reverse<(Tick, BioId)>>,
+    next_window: Tick,
+    ask_at: Tick,
+    ask_wait: Tick,
+    waking: Tick,
+}
+
+impl Scheduler {
+    pub fn new(terms: &Terms, seed: u64, now: Tick) -> Self {
+        let plan = |p: &crate::host::Plan| Plan {
+            reserve: p.reserve / SECOND,
+            limit: if p.limit > 0.0 { p.limit / SECOND } else { f64::INFINITY },
+            burst: p.limit_burst,
+            wt: if p.wt > 0.0 { p.wt } else { 1.0 },
+            price: p.price,
+        };
+        let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
+        let group = |g: &crate::host::IoGroup| IoGroup {
+            effect: g.effect,
+            goal: g.goal,
+            late: g.late_share,
+            gain: g.gain,
+            ordered: g.ordered,
+            // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
+            submits: if g.gain < mean_gain { terms.max_submits.min(2) } else { terms.max_submits }.max(1),
+        };
+        let mut pcg = Pcg::new(seed);
+        let ask_at = now + pcg.below(ASK_FIRST) as Tick;
+        Scheduler {
+            plans: terms.plans.iter().map(plan).collect(),
+            groups: terms.groups.iter().map(group).collect(),
+            mean_units: if terms.mean_units > 0.0 { terms.mean_units } else { 1.0 },
+            largest: terms.largest.max(1.0),
+            share_gain: terms.share_gain,
+            spare_gain: terms.spare_gain,
+            short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
+            cold: Cold {
+                part: terms.cold_bears / f64::from(terms.hosts.max(1)),
+                from: terms.cold_from.clamp(0.01, 1.0),
+                span: terms.cold_span,
+                fall: terms.fall_span,
+            },
+            budget: (terms.budget_free, terms.budget_share, terms.budget_span),
+            order_rest: terms.order_rest,
+            may_cancel: terms.may_cancel,
+            return_after: if terms.may_name_return { terms.longest_return } else { 0 },
+            on_request: terms.list_on_request,
+            pcg,
+            born: now,
+            nodes: Vec::new(),
+            volumes: Vec::new(),
+            keys: Vec::new(),
+            resting: Vec::new(),
+            slots: Vec::new(),
+            taken: Ledger::default(),
+            further: Ledger::default(),
+            alarms: BinaryHeap::new(),
+            next_window: now + WINDOW,
+            ask_at,
+            ask_wait: ASK_FIRST as Tick,
+            waking: Tick::MAX,
+        }
+    }
+
+    /// The node list spoke.
+    pub fn listed(&mut self, host: &mut dyn Host, now: Tick, form: ListForm, entries: &[Listed]) {
+        if form == ListForm::Failed {
+            // A failed call does not say whether a watch stands: ask again, ever later and spread.
+            self.ask_at = now + self.ask_wait + self.pcg.below(self.ask_wait as u64) as Tick;
+            self.ask_wait = (self.ask_wait * 2).min(ASK_MOST);
+            return self.sleep(host, now);
+        }
+        if form != ListForm::Kept {
+            self.ask_wait = ASK_FIRST as Tick;
+        }
+        if form != ListForm::Changes {
+            self.nodes.iter_mut().for_each(|n| n.open = false);
+        }
+        for e in entries {
+            let at = e.node.0 as usize;
+            if self.nodes.len() <= at {
+                self.nodes.resize_with(at + 1, Node::default);
+            }
+            let spread = self.pcg.below(RETURN_SPREAD) as Tick;
+            let node = &mut self.nodes[at];
+            let fresh = node.wt == 0.0;
+            (node.shard, node.zone, node.open) = (e.shard, e.zone, e.state == NodeState::Active);
+            if fresh || e.came_up > node.came_up {
+                node.came_up = e.came_up;
+                (node.wt, node.mult) = (WT_START, 1.0);
+                node.extra = node.extra.max(BUDGET_START * self.mean_units);
+                if !fresh || form != ListForm::Kept {
+                    node.first_ok = now + spread;
+                }
+                if e.came_up > 0 && form == ListForm::Kept {
+                    // A host that has itself just started may have spent its part on this node before it died.
+                    node.sent.add(now, self.cold.part);
+                }
+            }
+        }
+        // Nothing new goes to a closed node: what was held for it moves on or gets its answer.
+        for at in 0..self.nodes.len() {
+            if !self.nodes[at].open {
+                for id in std::mem::take(&mut self.nodes[at].held) {
+                    self.place(host, now, id);
+                }
+            }
+            self.pump(host, now, NodeId(at as u32));
+        }
+        self.sleep(host, now);
+    }
+
+    /// A block I/O has come in.
+    pub fn take(&mut self, host: &mut dyn Host, now: Tick, bio: Bio) {
+        self.taken.add(now, 1.0);
+        let group = &self.groups[bio.group as usize];
+        let plan = &self.plans[bio.plan as usize];
+        let (ordered, goal) = (group.ordered, now + group.goal);
+        let at = bio.vol.0 as usize;
+        if self.volumes.len() <= at {
+            self.volumes.resize_with(at + 1, || None);
+        }
+        let hosts = f64::from(bio.hosts.max(1));
+        let born = self.born;
+        // A store opens empty when this host starts: a host that came back may have spent its part before.
+        let vol = self.volumes[at].get_or_insert_with(|| Volume {
+            plan: bio.plan as usize,
+            hosts,
+            store: 0.0,
+            reserve: 0.0,
+            filled: born,
+            seen: now,
+            in_hand: 0,
+        });
+        vol.fill(now, plan, self.largest);
+        // The parts add up only if none is ever larger than the smallest that was due.
+        vol.hosts = vol.hosts.max(hosts);
+        vol.seen = now;
+        vol.in_hand += 1;
+        let slot = Slot {
+            bio,
+            node: None,
+            goal,
+            submits: 0,
+            out: false,
+            over: false,
+            drew: false,
+            ran: None,
+            next_of_key: None,
+            step: Self::answer_or_resend,
+        };
+        let at = bio.id.0 as usize;
+        if self.slots.len() <= at {
+            self.slots.resize(at + 1, None);
+        }
+        self.slots[at] = Some(slot);
+        if let Some(key) = bio.key {
+            self.join(key, bio.id, ordered);
+        }
+        self.alarms.push(Reverse((bio.hard_limit - LAST_CALL, bio.id)));
+        if bio.hard_limit - LAST_CALL <= now {
+            self.give_up(host, now, bio.id);
+        } else if let Some(node) = self.place(host, now, bio.id) {
+            self.pump(host, now, node);
+        }
+        self.sleep(host, now);
+    }
+
+    /// A submit has come out.
+    pub fn ended(&mut self, host: &mut dyn Host, now: Tick, id: BioId, outcome: &Outcome) {
+        let Some(slot) = self.slots.get_mut(id.0 as usize).and_then(Option::as_mut) else { return };
+        if !slot.out {
+            return;
+        }
+        slot.out = false;
+        let (step, units, sent) = (slot.step, slot.bio.units, now - outcome.wait);
+        let at = outcome.node;
+        self.learn(at, units, outcome);
+        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
+        if !never_ran {
+            slot.ran = slot.ran.or(Some((sent, at)));
+        }
+        if outcome.ending == Ending::Moot && slot.submits == 1 && slot.drew {
+            slot.drew = false;
+            let (vol, plan) = (slot.bio.vol, slot.bio.plan);
+            let vol = self.volumes[vol.0 as usize].as_mut().expect("in hand");
+            vol.store = (vol.store + units).min(self.plans[plan as usize].burst / vol.hosts);
+        }
+        // What was cut off may still run: the key rests.
+        let cut = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
+        if let (Some(key), true) = (slot.bio.key, cut && self.groups[slot.bio.group as usize].ordered) {
+            self.keys[key.0 as usize].rest = now + self.order_rest + 1;
+            self.resting.push(key);
+        }
+        step(self, host, now, id, outcome);
+        self.pump(host, now, at);
+        self.sleep(host, now);
+    }
+
+    /// The client has left, or the host has answered it.
+    pub fn gone(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
+        let Some(slot) = self.slots.get_mut(id.0 as usize).and_then(Option::as_mut) else { return };
+        if !slot.over {
+            slot.over = true;
+            self.leave(host, now, id);
+        }
+        self.sleep(host, now);
+    }
+
+    pub fn probed(&mut self, host: &mut dyn Host, now: Tick, _node: NodeId, _outcome: &Outcome) {
+        self.sleep(host, now);
+    }
+
+    pub fn heard(&mut self, host: &mut dyn Host, now: Tick, _from: u32, _bytes: &[u8]) {
+        self.sleep(host, now);
+    }
+
+    /// The time asked for with `wake` has come.
+    pub fn woken(&mut self, host: &mut dyn Host, now: Tick) {
+        if now >= self.waking {
+            self.waking = Tick::MAX;
+        }
+        if now >= self.ask_at {
+            self.ask_at = Tick::MAX;
+            if self.on_request {
+                host.watch_list();
+            }
+        }
+        while let Some(&Reverse((at, id))) = self.alarms.peek() {
+            if at > now {
+                break;
+            }
+            self.alarms.pop();
+            // The slot may hold a later block I/O by now.
+            let due = self.slots[id.0 as usize]
+                .is_some_and(|s| !s.over && !s.out && s.bio.hard_limit - LAST_CALL <= now);
+            if due {
+                self.give_up(host, now, id);
+            }
+        }
+        if now >= self.next_window {
+            self.next_window = now + WINDOW;
+            self.tidy(host, now);
+            for at in 0..self.nodes.len() {
+                self.run_scheduling(NodeId(at as u32));
+                self.pump(host, now, NodeId(at as u32));
+            }
+        }
+        self.sleep(host, now);
+    }
+
+    /// Forgets volumes and keys that are of no more use.
+    fn tidy(&mut self, host: &mut dyn Host, now: Tick) {
+        for at in 0..self.volumes.len() {
+            if self.volumes[at].as_ref().is_some_and(|v| v.in_hand == 0 && now - v.seen > IDLE_VOLUME) {
+                self.volumes[at] = None;
+                self.nodes.iter_mut().for_each(|n| n.shares.retain(|s| s.vol.0 as usize != at));
+                host.release_volume(VolId(at as u32));
+            }
+        }
+        for i in (0..self.resting.len()).rev() {
+            let (key, state) = (self.resting[i], &mut self.keys[self.resting[i].0 as usize]);
+            if state.rest <= now {
+                self.resting.swap_remove(i);
+                if state.users == 0 && state.rest > 0 {
+                    state.rest = 0;
+                    host.release_key(key);
+                }
+            }
+        }
+    }
+
+    /// A block I/O takes its turn behind the others of its key, or only counts as a user of it.
+    fn join(&mut self, key: KeyId, id: BioId, ordered: bool) {
+        let at = key.0 as usize;
+        if self.keys.len() <= at {
+            self.keys.resize(at + 1, Key::default());
+        }
+        self.keys[at].users += 1;
+        if !ordered {
+            return;
+        }
+        let Some(mut last) = self.keys[at].head else {
+            self.keys[at].head = Some(id);
+            return;
+        };
+        while let Some(next) = self.slots[last.0 as usize].as_ref().expect("queued").next_of_key {
+            last = next;
+        }
+        self.slots[last.0 as usize].as_mut().expect("queued").next_of_key = Some(id);
+    }
+
+    /// A block I/O that is over and has no submit out gives up its turn, wherever it stands.
+    fn part(&mut self, host: &mut dyn Host, now: Tick, key: KeyId, id: BioId, next: Option<BioId>) {
+        let at = key.0 as usize;
+        if self.keys[at].head == Some(id) {
+            self.keys[at].head = next;
+        } else {
+            let mut before = self.keys[at].head;
+            while let Some(slot) = before.and_then(|b| self.slots[b.0 as usize].as_mut()) {
+                before = slot.next_of_key;
+                if before == Some(id) {
+                    slot.next_of_key = next;
+                    break;
+                }
+            }
+        }
+        let state = &mut self.keys[at];
+        state.users -= 1;
+        if state.users == 0 && state.rest <= now {
+            state.rest = 0;
+            host.release_key(key);
+        }
+    }
+
+    /// Asks to be woken at the next thing due.
+    fn sleep(&mut self, host: &mut dyn Host, now: Tick) {
+        let alarm = self.alarms.peek().map_or(Tick::MAX, |a| a.0.0);
+        let due = self.next_window.min(alarm).min(self.ask_at).max(now + 1);
+        if due < self.waking {
+            self.waking = due;
+            host.wake(due - now);
+        }
+    }
+
+    /// Both passes of the design's Algorithm 1 for one node.
+    fn run_scheduling(&mut self, at: NodeId) {
+        let node = &mut self.nodes[at.0 as usize];
+        let target = NARROW_ABOVE * self.short_goal;
+        // The budget grows while the node answers in time and the budget is what holds block I/Os back.
+        if node.lat > target {
+            node.extra = (node.extra * (1.0 - BUDGET_STEP)).max(self.mean_units);
+        } else if !node.held.is_empty() {
+            node.extra = (node.extra * (1.0 + BUDGET_STEP)).min(WT_MAX * self.mean_units);
+        }
+        node.shares.iter_mut().for_each(|s| s.held = 0.0);
+        for id in &node.held {
+            let bio = &self.slots[id.0 as usize].as_ref().expect("held").bio;
+            if let Some(s) = node.shares.iter_mut().find(|s| s.vol == bio.vol) {
+                s.held += bio.units;
+            }
+        }
+        let figures = |s: &Share| {
+            let vol = self.volumes[s.vol.0 as usize].as_ref().expect("volume of a share");
+            let plan = &self.plans[vol.plan];
+            let ceiling = (plan.limit * WINDOW as f64 + plan.burst) / vol.hosts;
+            (plan.reserve * WINDOW as f64 / vol.hosts, ceiling, plan.wt)
+        };
+        let bases: f64 = node.shares.iter().map(|s| figures(s).0).sum();
+        let total = bases + node.extra;
+        node.pool = total * POOL;
+        let mut unused = total - node.pool;
+        let mut sum = 0.0;
+        let idle = node.shares.iter().all(|s| s.used == 0.0 && s.held == 0.0);
+        let demand = |s: &Share, wt: f64| if idle { wt } else { (s.used + s.held * THROTTLE_WT) * wt };
+        for s in &mut node.shares {
+            let (base, _, wt) = figures(s);
+            let debt = s.alloc.min(0.0);
+            s.hist = s.used.max(s.hist * ALPHA);
+            let alloc = if s.burst || s.held > 0.0 { base } else { s.hist * ALPHA };
+            s.alloc = alloc + debt;
+            unused -= alloc;
+            sum += demand(s, wt);
+        }
+        for s in &mut node.shares {
+            let (base, ceiling, wt) = figures(s);
+            let part = if sum > 0.0 { unused.max(0.0) * demand(s, wt) / sum } else { 0.0 };
+            s.alloc = (s.alloc + part).min(ceiling);
+            s.burst = s.alloc > base;
+            s.used = 0.0;
+        }
+        node.used = 0.0;
+    }
+
+    /// The design's order: own allocation, the richer of two bursting volumes', the pool, else wait.
+    /// An allocation in the black may be overdrawn and pays back later, for a block I/O may cost many windows.
+    fn admit(&mut self, at: NodeId, vol: VolId, units: f64) -> bool {
+        let node = &mut self.nodes[at.0 as usize];
+        let cost = units * node.mult;
+        let own = node.shares.iter().position(|s| s.vol == vol).expect("placed");
+        let payer = if node.shares[own].alloc > 0.0 {
+            Some(own)
+        } else {
+            let bursting = node.shares.iter().filter(|s| s.burst).count() as u64;
+            let mut draw = || {
+                let nth = self.pcg.below(bursting) as usize;
+                node.shares.iter().enumerate().filter(|(_, s)| s.burst).nth(nth).map(|(i, _)| i)
+            };
+            let pair = (draw(), draw());
+            let richer = match pair {
+                (Some(a), Some(b)) => Some(if node.shares[a].alloc >= node.shares[b].alloc { a } else { b }),
+                _ => None,
+            };
+            richer.filter(|i| node.shares[*i].alloc >= cost)
+        };
+        if let Some(i) = payer {
+            node.shares[i].alloc -= cost;
+        } else if node.pool >= cost {
+            node.pool -= cost;
+        } else {
+            return false;
+        }
+        node.shares[own].used += cost;
+        node.used += cost;
+        true
+    }
+
+    /// What a unit of this block I/O would still earn if it were sent now.
+    fn density(&self, slot: &Slot, now: Tick, node: &Node) -> f64 {
+        let group = &self.groups[slot.bio.group as usize];
+        let vol = self.volumes[slot.bio.vol.0 as usize].as_ref().expect("in hand");
+        let plan = &self.plans[vol.plan];
+        let share = node.shares.iter().find(|s| s.vol == slot.bio.vol);
+        let tier = if vol.reserve * 2.0 >= slot.bio.units {
+            1.0
+        } else if share.is_some_and(|s| s.alloc > 0.0) {
+            self.share_gain
+        } else {
+            self.spare_gain
+        };
+        let late = if now + node.lat as Tick > slot.goal { group.late } else { 1.0 };
+        tier * late * group.gain * plan.price
+    }
+
+    /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
+    fn pump(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
+        let mut passed: u64 = 0; // volumes that the design lets wait this time, by their place in `shares`
+        loop {
+            let fall = self.cold.fall;
+            let room = self.cold_room(now, at, fall);
+            let node = &self.nodes[at.0 as usize];
+            if !node.open
+                || now < node.first_ok
+                || node.held.is_empty()
+                || f64::from(node.out) + 1.0 > node.wt
+            {
+                return;
+            }
+            let mut best: Option<(f64, Tick, usize)> = None;
+            for (i, id) in node.held.iter().enumerate() {
+                let slot = self.slots[id.0 as usize].as_ref().expect("held");
+                let place = node.shares.iter().position(|s| s.vol == slot.bio.vol).expect("placed");
+                if passed >> (place as u64 & 63) & 1 == 1 || !self.may_send(slot, now, at, room) {
+                    continue;
+                }
+                let gain = self.density(slot, now, node);
+                if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
+                    best = Some((gain, slot.goal, i));
+                }
+            }
+            let Some((_, _, i)) = best else { return };
+            let id = node.held[i];
+            let bio = self.slots[id.0 as usize].as_ref().expect("held").bio;
+            if !self.admit(at, bio.vol, bio.units) {
+                let node = &self.nodes[at.0 as usize];
+                let place = node.shares.iter().position(|s| s.vol == bio.vol).expect("placed");
+                passed |= 1 << (place as u64 & 63);
+                continue;
+            }
+            self.nodes[at.0 as usize].held.swap_remove(i);
+            self.send(host, now, id, at);
+        }
+    }
+
+    /// Units that this host may still send to a node that has just started; the rest is the other hosts' part.
+    /// Its part grows no faster than the slowest warm-up that the terms allow.
+    fn cold_room(&mut self, now: Tick, at: NodeId, fall: Tick) -> f64 {
+        let node = &mut self.nodes[at.0 as usize];
+        let age = now - node.came_up;
+        if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall {
+            return f64::INFINITY;
+        }
+        let warm = (age - fall).max(0) as f64 / self.cold.span.max(1) as f64;
+        let grown = (self.cold.from + (1.0 - self.cold.from) * warm.min(1.0)) / self.cold.from;
+        self.cold.part * grown - node.sent.since(now - fall - 1)
+    }
+
+    /// The rules, for one submit: order, limit, cold node, budget, effect.
+    fn may_send(&self, slot: &Slot, now: Tick, at: NodeId, room: f64) -> bool {
+        let group = &self.groups[slot.bio.group as usize];
+        if let (Some(key), true) = (slot.bio.key, group.ordered) {
+            let key = &self.keys[key.0 as usize];
+            if key.head != Some(slot.bio.id) || slot.submits == 0 && now < key.rest {
+                return false;
+            }
+        }
+        let vol = self.volumes[slot.bio.vol.0 as usize].as_ref().expect("in hand");
+        let limited = self.plans[vol.plan].limit.is_finite();
+        if limited && !slot.drew && vol.store < slot.bio.units || slot.bio.units > room {
+            return false;
+        }
+        slot.ran.is_none_or(|(sent, first)| match group.effect {
+            Effect::Idempotent => true,
+            Effect::SideEffecting => false,
+            Effect::Fingerprinted { scope, memory } => {
+                let (a, b) = (&self.nodes[first.0 as usize], &self.nodes[at.0 as usize]);
+                now + LAST_CALL < sent + memory
+                    && match scope {
+                        Scope::All => true,
+                        Scope::Zone => a.zone == b.zone,
+                        Scope::Cell => a.shard == b.shard,
+                    }
+            }
+        })
+    }
+
+    fn send(&mut self, host: &mut dyn Host, now: Tick, id: BioId, at: NodeId) {
+        let slot = self.slots[id.0 as usize].as_mut().expect("held");
+        let units = slot.bio.units;
+        if slot.submits > 0 {
+            self.further.add(now, 1.0);
+        }
+        slot.submits += 1;
+        slot.out = true;
+        slot.step = Self::answer_or_resend;
+        let vol = self.volumes[slot.bio.vol.0 as usize].as_mut().expect("in hand");
+        if !slot.drew {
+            slot.drew = true;
+            vol.fill(now, &self.plans[vol.plan], self.largest);
+            vol.store -= units;
+            vol.reserve = (vol.reserve - units).max(0.0);
+        }
+        let node = &mut self.nodes[at.0 as usize];
+        node.out += 1;
+        if node.came_up > 0 {
+            node.sent.add(now, units);
+        }
+        host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
+    }
+
+    /// What an outcome tells of its node.
+    fn learn(&mut self, at: NodeId, units: f64, outcome: &Outcome) {
+        let Some(node) = self.nodes.get_mut(at.0 as usize) else { return };
+        let full = f64::from(node.out) + 1.0 > node.wt;
+        node.out = node.out.saturating_sub(1);
+        let wait = outcome.wait as f64;
+        match outcome.ending {
+            Ending::Done => {
+                node.lat += (wait - node.lat) * LAT_STEP;
+                let per_unit = wait / units.max(1.0);
+                if per_unit > 2.0 * node.median {
+                    node.mult = (node.mult * MULT_UP).min(MULT_RANGE.1);
+                } else {
+                    node.mult = (node.mult * MULT_DOWN).max(MULT_RANGE.0);
+                }
+                if node.recent.len() < RECENT {
+                    node.recent.push(per_unit);
+                } else {
+                    node.recent[node.recent_at] = per_unit;
+                }
+                node.recent_at = (node.recent_at + 1) % RECENT;
+                let mut sorted = [0.0; RECENT];
+                let n = node.recent.len();
+                sorted[..n].copy_from_slice(&node.recent);
+                node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
+                if wait < WIDEN_BELOW * self.short_goal {
+                    if full {
+                        node.wt = (node.wt + 0.5 / node.wt).min(WT_MAX);
+                    }
+                } else if wait > NARROW_ABOVE * self.short_goal {
+                    node.wt = (node.wt * 0.9).max(1.0);
+                }
+            }
+            Ending::Moot | Ending::Cancelled => {}
+            // A quick failure is no quick answer: it narrows the window like a slow one and leaves the mean alone.
+            _ => node.wt = (node.wt * 0.7).max(1.0),
+        }
+    }
+
+    /// The step of a block I/O whose client still waits.
+    fn answer_or_resend(&mut self, host: &mut dyn Host, now: Tick, id: BioId, outcome: &Outcome) {
+        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        if slot.over || outcome.closed || outcome.ending == Ending::Done {
+            slot.over = true;
+            return self.leave(host, now, id);
+        }
+        let group = &self.groups[slot.bio.group as usize];
+        let ran = slot.ran.is_some();
+        let may_repeat = !ran || group.effect != Effect::SideEffecting;
+        let (free, share, span) = self.budget;
+        let spent = self.further.since(now - span - 1) + 1.0;
+        let in_budget = span == 0 || spent <= free + share * self.taken.since(now - span + 1);
+        let time_left = slot.bio.hard_limit - LAST_CALL > now;
+        if !may_repeat || !in_budget || !time_left || slot.submits >= group.submits {
+            return self.give_up(host, now, id);
+        }
+        self.place(host, now, id);
+    }
+
+    /// Finds the node of a block I/O and puts it among those held there; without a node it gets its answer.
+    fn place(&mut self, host: &mut dyn Host, now: Tick, id: BioId) -> Option<NodeId> {
+        let slot = self.slots[id.0 as usize].as_ref().expect("in hand");
+        let (bio, last) = (slot.bio, slot.node);
+        let nodes = &self.nodes;
+        let found = match bio.shard {
+            Some(shard) => {
+                let of_shard = |n: &(usize, &Node)| n.1.open && n.1.shard == shard;
+                nodes.iter().enumerate().filter(of_shard).max_by_key(|(_, n)| n.came_up).map(|(i, _)| i)
+            }
+            None => {
+                // Two at random, the one with the shorter line by this host's own counts; not the last one again.
+                let open = |n: &(usize, &Node)| n.1.open && last != Some(NodeId(n.0 as u32));
+                let count = nodes.iter().enumerate().filter(open).count() as u64;
+                let mut draw = || {
+                    let nth = self.pcg.below(count) as usize;
+                    nodes.iter().enumerate().filter(open).nth(nth).map(|(i, _)| i)
+                };
+                let line = |i: &usize| {
+                    let n = &nodes[*i];
+                    (f64::from(n.out) + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt
+                };
+                let (a, b) = (draw(), draw());
+                a.zip(b).map(|(a, b)| if line(&a) <= line(&b) { a } else { b })
+            }
+        };
+        let Some(at) = found else {
+            self.give_up(host, now, id);
+            return None;
+        };
+        let at = NodeId(at as u32);
+        self.slots[id.0 as usize].as_mut().expect("in hand").node = Some(at);
+        let vol = self.volumes[bio.vol.0 as usize].as_ref().expect("in hand");
+        let base = self.plans[vol.plan].reserve * WINDOW as f64 / vol.hosts;
+        let node = &mut self.nodes[at.0 as usize];
+        if !node.shares.iter().any(|s| s.vol == bio.vol) {
+            node.shares.push(Share {
+                vol: bio.vol,
+                alloc: base,
+                used: 0.0,
+                held: 0.0,
+                hist: base,
+                burst: false,
+            });
+        }
+        node.held.push(id);
+        Some(at)
+    }
+
+    /// The final answer of what will not be served, at once.
+    fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
+        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        slot.over = true;
+        let harmless = slot.ran.is_none()
+            || match self.groups[slot.bio.group as usize].effect {
+                Effect::Idempotent => true,
+                Effect::Fingerprinted { scope, .. } => scope == Scope::All,
+                Effect::SideEffecting => false,
+            };
+        if harmless {
+            let back = self.return_after.min(WINDOW);
+            host.shed(id, back);
+        } else {
+            host.fail(id);
+        }
+        self.leave(host, now, id);
+    }
+
+    /// A block I/O that is over leaves the held ones; with its submit in, its key and its place as well.
+    fn leave(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
+        let slot = self.slots[id.0 as usize].as_ref().expect("in hand");
+        let (bio, node, next) = (slot.bio, slot.node, slot.next_of_key);
+        if slot.out {
+            if self.may_cancel {
+                host.cancel(id, slot.submits - 1);
+            }
+            return;
+        }
+        if let Some(node) = node {
+            self.nodes[node.0 as usize].held.retain(|h| *h != id);
+        }
+        self.volumes[bio.vol.0 as usize].as_mut().expect("in hand").in_hand -= 1;
+        if let Some(key) = bio.key {
+            self.part(host, now, key, id, next);
+        }
+        self.slots[id.0 as usize] = None;
+        host.release_bio(id);
+    }
+}
