--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -589,6 +589,7 @@
         loop {
             let fall = self.cold.fall;
             let room = self.cold_room(now, at, fall);
+            let further = self.may_send_again(now);
             let node = &self.nodes[at.0 as usize];
             if !node.open
                 || now < node.first_ok
@@ -601,7 +602,10 @@
             for (i, id) in node.held.iter().enumerate() {
                 let slot = self.slots[id.0 as usize].as_ref().expect("held");
                 let place = node.shares.iter().position(|s| s.vol == slot.bio.vol).expect("placed");
-                if passed >> (place as u64 & 63) & 1 == 1 || !self.may_send(slot, now, at, room) {
+                if passed >> (place as u64 & 63) & 1 == 1 || slot.submits > 0 && !further {
+                    continue;
+                }
+                if !self.may_send(slot, now, at, room) {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
@@ -636,7 +640,15 @@
         self.cold.part * grown - node.sent.since(now - fall - 1)
     }
 
-    /// The rules, for one submit: order, limit, cold node, budget, effect.
+    /// Whether the budget of further submits has one left, counted at the moment of sending: block I/Os may
+    /// wait here between a failure and the next submit, and takes fall out of the span meanwhile.
+    fn may_send_again(&mut self, now: Tick) -> bool {
+        let (free, share, span) = self.budget;
+        span == 0
+            || self.further.since(now - span - 1) + 1.0 <= free + share * self.taken.since(now - span + 1)
+    }
+
+    /// The rules, for one submit: order, limit, cold node, effect.
     fn may_send(&self, slot: &Slot, now: Tick, at: NodeId, room: f64) -> bool {
         let group = &self.groups[slot.bio.group as usize];
         if let (Some(key), true) = (slot.bio.key, group.ordered) {
@@ -736,13 +748,9 @@
             return self.leave(host, now, id);
         }
         let group = &self.groups[slot.bio.group as usize];
-        let ran = slot.ran.is_some();
-        let may_repeat = !ran || group.effect != Effect::SideEffecting;
-        let (free, share, span) = self.budget;
-        let spent = self.further.since(now - span - 1) + 1.0;
-        let in_budget = span == 0 || spent <= free + share * self.taken.since(now - span + 1);
+        let may_repeat = slot.ran.is_none() || group.effect != Effect::SideEffecting;
         let time_left = slot.bio.hard_limit - LAST_CALL > now;
-        if !may_repeat || !in_budget || !time_left || slot.submits >= group.submits {
+        if !may_repeat || !time_left || slot.submits >= group.submits {
             return self.give_up(host, now, id);
         }
         self.place(host, now, id);
