--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -25,6 +25,11 @@
 const WT_START: f64 = 2.0; // submits out at a node not yet known: one in work, one waiting
 const WIDEN_BELOW: f64 = 0.30; // of the shortest latency goal: a wait below it leaves room at the node
 const NARROW_ABOVE: f64 = 0.45; // of the same: the rest of the goal is for what waits here
+const WIDEN: f64 = 0.25; // submits that a full window gains by a round of quick answers
+const NARROW: f64 = 0.9; // what a slow answer or a failure leaves of the window: half after seven
+const WT_LEAST: f64 = 0.05; // a node crowded by many hosts gets one submit here in twenty of its waits
+const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
+const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
@@ -86,6 +91,7 @@
     first_ok: Tick,
     sent: Ledger,
     out: u32,
+    failures: u32,
     wt: f64,
     mult: f64,
     recent: Vec<f64>,
@@ -335,7 +341,7 @@
         slot.out = false;
         let (step, units, sent) = (slot.step, slot.bio.units, now - outcome.wait);
         let at = outcome.node;
-        self.learn(at, units, outcome);
+        self.learn(now, at, units, outcome);
         let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
         let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
         if !never_ran {
@@ -702,9 +708,9 @@
     }
 
     /// What an outcome tells of its node.
-    fn learn(&mut self, at: NodeId, units: f64, outcome: &Outcome) {
+    fn learn(&mut self, now: Tick, at: NodeId, units: f64, outcome: &Outcome) {
         let Some(node) = self.nodes.get_mut(at.0 as usize) else { return };
-        let full = f64::from(node.out) + 1.0 > node.wt;
+        let full = !node.held.is_empty() || f64::from(node.out) + 1.0 > node.wt;
         node.out = node.out.saturating_sub(1);
         let wait = outcome.wait as f64;
         match outcome.ending {
@@ -726,18 +732,27 @@
                 let n = node.recent.len();
                 sorted[..n].copy_from_slice(&node.recent);
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
+                node.failures = 0;
                 if wait < WIDEN_BELOW * self.short_goal {
                     if full {
-                        node.wt = (node.wt + 0.5 / node.wt).min(WT_MAX);
+                        node.wt = (node.wt + WIDEN * node.wt.min(1.0 / node.wt)).min(WT_MAX);
                     }
                 } else if wait > NARROW_ABOVE * self.short_goal {
-                    node.wt = (node.wt * 0.9).max(1.0);
+                    node.wt = (node.wt * NARROW).max(WT_LEAST);
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
             // A quick failure is no quick answer: it narrows the window like a slow one and leaves the mean alone.
-            _ => node.wt = (node.wt * 0.7).max(1.0),
+            _ => {
+                node.wt = (node.wt * NARROW).max(WT_LEAST);
+                node.failures += 1;
+            }
         }
+        // A window below one is kept by a pause after each answer, so that the node works for the other hosts
+        // meanwhile; a node that fails again and again is tried ever more seldom, until it answers.
+        let rest = if node.wt < 1.0 { node.lat.min(self.short_goal) * (1.0 / node.wt - 1.0) } else { 0.0 };
+        let doubt = if node.failures > 1 { TRY_AGAIN << (node.failures - 2).min(TRY_DOUBLE) } else { 0 };
+        node.first_ok = node.first_ok.max(now + doubt.max(rest as Tick));
     }
 
     /// The step of a block I/O whose client still waits.
