--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,10 +23,10 @@
 const RECENT: usize = 32; // answers in a node's median: about a second's worth
 const WT_MAX: f64 = 32.0; // submits out at one node, at most (design)
 const WT_START: f64 = 2.0; // submits out at a node not yet known: one in work, one waiting
-const WIDEN_BELOW: f64 = 0.30; // of the shortest latency goal: a wait below it leaves room at the node
-const NARROW_ABOVE: f64 = 0.45; // of the same: the rest of the goal is for what waits here
+const WIDEN_BELOW: f64 = 0.40; // of the shortest latency goal: a wait below it leaves room at the node
+const NARROW_ABOVE: f64 = 0.50; // of the same: the rest of the goal is for what waits here
 const WIDEN: f64 = 0.25; // submits that a full window gains by a round of quick answers
-const NARROW: f64 = 0.9; // what a slow answer or a failure leaves of the window: half after seven
+const NARROW: f64 = 0.1; // part of the window that a round of slow answers, or a failure, takes away
 const WT_LEAST: f64 = 0.05; // a node crowded by many hosts gets one submit here in twenty of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
@@ -733,18 +733,18 @@
                 sorted[..n].copy_from_slice(&node.recent);
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
                 node.failures = 0;
-                if wait < WIDEN_BELOW * self.short_goal {
+                if node.lat < WIDEN_BELOW * self.short_goal {
                     if full {
                         node.wt = (node.wt + WIDEN * node.wt.min(1.0 / node.wt)).min(WT_MAX);
                     }
-                } else if wait > NARROW_ABOVE * self.short_goal {
-                    node.wt = (node.wt * NARROW).max(WT_LEAST);
+                } else if node.lat > NARROW_ABOVE * self.short_goal {
+                    node.wt = (node.wt * (1.0 - NARROW / node.wt.max(1.0))).max(WT_LEAST);
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
             // A quick failure is no quick answer: it narrows the window like a slow one and leaves the mean alone.
             _ => {
-                node.wt = (node.wt * NARROW).max(WT_LEAST);
+                node.wt = (node.wt * (1.0 - NARROW)).max(WT_LEAST);
                 node.failures += 1;
             }
         }
