--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -405,13 +405,16 @@
                 self.give_up(host, now, id);
             }
         }
-        if now >= self.next_window {
+        let turn = now >= self.next_window;
+        if turn {
             self.next_window = now + WINDOW;
             self.tidy(host, now);
-            for at in 0..self.nodes.len() {
-                self.run_scheduling(NodeId(at as u32));
-                self.pump(host, now, NodeId(at as u32));
+        }
+        for at in (0..self.nodes.len()).map(|at| NodeId(at as u32)) {
+            if turn {
+                self.run_scheduling(at);
             }
+            self.pump(host, now, at);
         }
         self.sleep(host, now);
     }
@@ -483,7 +486,9 @@
     /// Asks to be woken at the next thing due.
     fn sleep(&mut self, host: &mut dyn Host, now: Tick) {
         let alarm = self.alarms.peek().map_or(Tick::MAX, |a| a.0.0);
-        let due = self.next_window.min(alarm).min(self.ask_at).max(now + 1);
+        let rested = |n: &Node| if n.held.is_empty() || n.first_ok <= now { Tick::MAX } else { n.first_ok };
+        let rested = self.nodes.iter().map(rested).min().unwrap_or(Tick::MAX);
+        let due = self.next_window.min(alarm).min(self.ask_at).min(rested).max(now + 1);
         if due < self.waking {
             self.waking = due;
             host.wake(due - now);
