--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -501,7 +501,7 @@
         let target = NARROW_ABOVE * self.short_goal;
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
         if node.lat > target {
-            node.extra = (node.extra * (1.0 - BUDGET_STEP)).max(self.mean_units);
+            node.extra = (node.extra * (1.0 - BUDGET_STEP)).max(BUDGET_START * self.mean_units);
         } else if !node.held.is_empty() {
             node.extra = (node.extra * (1.0 + BUDGET_STEP)).min(WT_MAX * self.mean_units);
         }
