--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -605,7 +605,7 @@
             if !node.open
                 || now < node.first_ok
                 || node.held.is_empty()
-                || f64::from(node.out) + 1.0 > node.wt
+                || f64::from(node.out) + 1.0 > node.wt.max(1.0)
             {
                 return;
             }
