Send what will be late only where this host has nothing else out

Cause: a third of the answers came late and earned a tenth of the least, while they took the node from what could be in time.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -590,7 +590,8 @@
         } else {
             self.spare_gain
         };
-        let late = if now + node.lat as Tick > slot.goal { group.late } else { 1.0 };
+        // An answer past the goal earns its part of the least that is still due.
+        let late = if now + node.lat as Tick > slot.goal { group.late * self.spare_gain / tier } else { 1.0 };
         tier * late * group.gain * plan.price
     }
 
@@ -619,6 +620,10 @@
                 if !self.may_send(slot, now, at, room) {
                     continue;
                 }
+                // What will be late only fills a node that is otherwise idle.
+                if node.out > 0 && now + node.lat as Tick > slot.goal {
+                    continue;
+                }
                 let gain = self.density(slot, now, node);
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
                     best = Some((gain, slot.goal, i));
