Give up what is still held when its latency goal passes; read a retry's goal from its limit

Cause: what had missed its goal was kept to its hard limit and then sent, for a tenth of the least. Broken on the way and mended: a block I/O held again after a failed submit had no alarm left and was lost; now each time it is held sets one. Could hurt where late answers earn nearly as much as those in time.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -31,6 +31,7 @@
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
+const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
 const ASK_FIRST: u64 = 2_000; // ticks: hosts that start together ask the list spread over this
@@ -49,6 +50,7 @@
 struct IoGroup {
     effect: Effect,
     goal: Tick,
+    patience: Tick,
     late: f64,
     gain: f64,
     ordered: bool,
@@ -113,6 +115,7 @@
     bio: Bio,
     node: Option<NodeId>,
     goal: Tick,
+    due: Tick,
     submits: u32,
     out: bool,
     over: bool,
@@ -184,6 +187,7 @@
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
             goal: g.goal,
+            patience: 0,
             late: g.late_share,
             gain: g.gain,
             ordered: g.ordered,
@@ -279,9 +283,13 @@
     /// A block I/O has come in.
     pub fn take(&mut self, host: &mut dyn Host, now: Tick, bio: Bio) {
         self.taken.add(now, 1.0);
-        let group = &self.groups[bio.group as usize];
+        let group = &mut self.groups[bio.group as usize];
         let plan = &self.plans[bio.plan as usize];
-        let (ordered, goal) = (group.ordered, now + group.goal);
+        // A client's retry keeps the hard limit of its first try, and so its latency goal: a wait shorter than
+        // the longest seen in the I/O group tells how long ago that was.
+        let waits = bio.hard_limit - now;
+        let (ordered, goal) = (group.ordered, now + group.goal - (group.patience - waits).max(0));
+        group.patience = group.patience.max(waits);
         let at = bio.vol.0 as usize;
         if self.volumes.len() <= at {
             self.volumes.resize_with(at + 1, || None);
@@ -307,6 +315,7 @@
             bio,
             node: None,
             goal,
+            due: Tick::MAX,
             submits: 0,
             out: false,
             over: false,
@@ -323,7 +332,6 @@
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
-        self.alarms.push(Reverse((bio.hard_limit - LAST_CALL, bio.id)));
         if bio.hard_limit - LAST_CALL <= now {
             self.give_up(host, now, bio.id);
         } else if let Some(node) = self.place(host, now, bio.id) {
@@ -398,9 +406,8 @@
                 break;
             }
             self.alarms.pop();
-            // The slot may hold a later block I/O by now.
-            let due = self.slots[id.0 as usize]
-                .is_some_and(|s| !s.over && !s.out && s.bio.hard_limit - LAST_CALL <= now);
+            // The slot may hold a later block I/O by now, or one that was sent meanwhile.
+            let due = self.slots[id.0 as usize].is_some_and(|s| !s.over && !s.out && s.due <= now);
             if due {
                 self.give_up(host, now, id);
             }
@@ -812,7 +819,11 @@
             return None;
         };
         let at = NodeId(at as u32);
-        self.slots[id.0 as usize].as_mut().expect("in hand").node = Some(at);
+        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        slot.node = Some(at);
+        // Held past its goal it is given up, after each submit anew.
+        slot.due = (bio.hard_limit - LAST_CALL).min(slot.goal.max(now + HOPELESS));
+        self.alarms.push(Reverse((slot.due, id)));
         let vol = self.volumes[bio.vol.0 as usize].as_ref().expect("in hand");
         let base = self.plans[vol.plan].reserve * WINDOW as f64 / vol.hosts;
         let node = &mut self.nodes[at.0 as usize];
