--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -27,7 +27,7 @@
 const NARROW_ABOVE: f64 = 0.45; // of the same: the rest of the goal is for what waits here
 const WIDEN: f64 = 0.25; // submits that a full window gains by a round of quick answers
 const NARROW: f64 = 0.1; // part of the window that a round of slow answers, or a failure, takes away
-const WT_LEAST: f64 = 0.25; // at a node crowded by many hosts, one submit in four of its waits
+const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
@@ -628,7 +628,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if node.out > 0 && now + node.lat as Tick > slot.goal {
+                if (node.out > 0 || node.wt < 1.0) && now + node.lat as Tick > slot.goal {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
