--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -139,8 +139,7 @@
         let span = (now - self.filled) as f64;
         self.filled = now;
         self.store = (self.store + span * plan.limit / self.hosts).min(plan.burst / self.hosts);
-        let most = (plan.reserve * SECOND + largest) / self.hosts;
-        self.reserve = (self.reserve + span * plan.reserve / self.hosts).min(most);
+        self.reserve = (self.reserve + span * plan.reserve).min(plan.reserve * SECOND + largest);
     }
 }
 
