--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -139,7 +139,8 @@
         let span = (now - self.filled) as f64;
         self.filled = now;
         self.store = (self.store + span * plan.limit / self.hosts).min(plan.burst / self.hosts);
-        self.reserve = (self.reserve + span * plan.reserve).min(plan.reserve * SECOND + largest);
+        let most = (plan.reserve * SECOND + largest) / self.hosts;
+        self.reserve = (self.reserve + span * plan.reserve / self.hosts).min(most);
     }
 }
 
@@ -575,6 +576,9 @@
             node.shares[i].alloc -= cost;
         } else if node.pool >= cost {
             node.pool -= cost;
+        } else if node.out == 0 {
+            // With nothing of this host's out at the node, waiting for the next window would only leave it idle.
+            node.shares[own].alloc -= cost;
         } else {
             return false;
         }
