--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,7 +30,6 @@
 const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
-const RUN: f64 = 2.0; // gain a work of a block I/O whose key the node has just had: half the work
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -105,7 +104,6 @@
     pool: f64,
     used: f64,
     held: Vec<BioId>,
-    last_keys: [Option<KeyId>; 2],
     shares: Vec<Share>,
 }
 
@@ -604,9 +602,7 @@
         };
         // An answer past the goal earns its part of the least that is still due.
         let late = if now + node.lat as Tick > slot.goal { group.late * self.spare_gain / tier } else { 1.0 };
-        // A node does a block I/O on a key that it has just had for about half the work, at its first submit.
-        let run = slot.bio.key.is_some() && slot.submits == 0 && node.last_keys.contains(&slot.bio.key);
-        tier * late * group.gain * plan.price * if run { RUN } else { 1.0 }
+        tier * late * group.gain * plan.price
     }
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
@@ -725,9 +721,6 @@
         }
         let node = &mut self.nodes[at.0 as usize];
         node.out += 1;
-        if node.last_keys[0] != slot.bio.key {
-            node.last_keys = [slot.bio.key, node.last_keys[0]];
-        }
         if node.came_up > 0 {
             node.sent.add(now, units);
         }
