--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,6 +30,7 @@
 const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
+const FADE: f64 = 0.9; // what a window without submits leaves of the mean wait: half after 0.7 s
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -506,6 +507,11 @@
     fn run_scheduling(&mut self, at: NodeId) {
         let node = &mut self.nodes[at.0 as usize];
         let target = NARROW_ABOVE * self.short_goal;
+        // With nothing out the mean wait is hearsay that ages: else a node once slow would count as slow for ever,
+        // for nothing that must be in time would be sent to it.
+        if node.out == 0 {
+            node.lat *= FADE;
+        }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
         if node.lat > target {
             node.extra = (node.extra * (1.0 - BUDGET_STEP)).max(BUDGET_START * self.mean_units);
