--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -759,7 +759,7 @@
                 sorted[..n].copy_from_slice(&node.recent);
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
                 node.failures = 0;
-                if node.lat < WIDEN_BELOW * self.short_goal {
+                if node.lat.max(wait) < WIDEN_BELOW * self.short_goal {
                     if full {
                         node.wt = (node.wt + WIDEN * node.wt.min(1.0 / node.wt)).min(WT_MAX);
                     }
