--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -759,13 +759,11 @@
                 sorted[..n].copy_from_slice(&node.recent);
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
                 node.failures = 0;
-                let quick = *sorted[..n].select_nth_unstable_by(n / 4, f64::total_cmp).1 * self.mean_units;
-                let most = (quick * 1.5).clamp(NARROW_ABOVE * self.short_goal, 0.45 * self.short_goal);
-                if node.lat.max(wait) < most * WIDEN_BELOW / NARROW_ABOVE {
+                if node.lat.max(wait) < WIDEN_BELOW * self.short_goal {
                     if full {
                         node.wt = (node.wt + WIDEN * node.wt.min(1.0 / node.wt)).min(WT_MAX);
                     }
-                } else if node.lat > most {
+                } else if node.lat > NARROW_ABOVE * self.short_goal {
                     node.wt = (node.wt * (1.0 - NARROW / node.wt.max(1.0))).max(WT_LEAST);
                 }
             }
