--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -298,7 +298,7 @@
         let hosts = f64::from(bio.hosts.max(1));
         let born = self.born;
         // A store opens empty when this host starts: a host that came back may have spent its part before.
-        let vol = self.volumes[at].get_or_insert_with(|| Volume {
+        let vol = self.volumes[at].get_or_insert(Volume {
             plan: bio.plan as usize,
             hosts,
             store: 0.0,
@@ -367,6 +367,8 @@
         if let (Some(key), true) = (slot.bio.key, cut && self.groups[slot.bio.group as usize].ordered) {
             self.keys[key.0 as usize].rest = now + self.order_rest + 1;
             self.resting.push(key);
+            // Whoever is next on the key goes when its rest ends, not a window later.
+            self.alarms.push(Reverse((now + self.order_rest + 1, id)));
         }
         step(self, host, now, id, outcome);
         self.pump(host, now, at);
--- /dev/null
+++ b/crates/scheduler/tests/stories.rs
@@ -0,0 +1,317 @@
+//! Short stories, one for each failure met or guarded against.
+mod fake;
+
+use fake::{Did, GOAL, LIMIT, Story, node, terms};
+use mallowseam_scheduler::host::*;
+use test_case::test_case;
+
+fn keyed(story: &Story, id: u32, group: u16) -> Bio {
+    Bio { group, key: Some(KeyId(1)), ..story.bio(id) }
+}
+
+/// Answers whatever is out, in turn, after `wait`; ends when nothing is out.
+fn serve(story: &mut Story, wait: Tick) {
+    let mut seen = 0;
+    while let Some(&id) = story.sent().get(seen) {
+        story.pass(wait);
+        story.end(id, 0, Ending::Done, wait);
+        seen += 1;
+    }
+}
+
+#[test]
+fn what_is_held_at_a_silent_node_gets_one_answer_by_its_goal() {
+    let mut s = Story::new(&terms());
+    (0..6).for_each(|id| s.take(s.bio(id)));
+    s.pass(GOAL + 10);
+    let held: Vec<u32> = (0..6).filter(|id| !s.sent().contains(id)).collect();
+    assert!(!held.is_empty());
+    assert!(held.iter().all(|id| s.count(Did::Shed(*id)) == 1));
+}
+
+#[test]
+fn a_block_io_held_again_after_a_failed_submit_still_gets_its_answer() {
+    let mut s = Story::new(&terms());
+    s.take(s.bio(0));
+    s.pass(GOAL + 100);
+    s.list(ListForm::Changes, &[node(1, NodeState::Active, 0)]);
+    s.take(s.bio(1));
+    s.end(0, 0, Ending::Busy, 10);
+    s.pass(LIMIT);
+    let answers = s.count(Did::Shed(0)) + s.count(Did::Failed(0));
+    assert!(answers == 1 || s.sent().iter().filter(|id| **id == 0).count() > 1);
+    assert!(s.count(Did::Shed(1)) + s.count(Did::Failed(1)) <= 1);
+}
+
+#[test_case(Ending::Busy, true; "turned away")]
+#[test_case(Ending::NoConnect, true; "no connection")]
+#[test_case(Ending::TimedOut, false; "time out")]
+#[test_case(Ending::Reset, false; "reset")]
+#[test_case(Ending::Error, false; "error")]
+fn a_side_effect_is_repeated_only_if_it_never_ran(ending: Ending, again: bool) {
+    let mut s = Story::new(&terms());
+    s.take(keyed(&s, 0, 1));
+    s.end(0, 0, ending, 20);
+    s.pass(GOAL / 2);
+    assert_eq!(s.sent().len(), 1 + usize::from(again));
+    assert_eq!(s.count(Did::Failed(0)), usize::from(!again));
+    assert_eq!(s.count(Did::Shed(0)), 0);
+}
+
+#[test]
+fn a_fingerprint_is_not_trusted_past_its_memory() {
+    let mut t = terms();
+    t.groups[3].goal = 8_000;
+    let mut s = Story::new(&t);
+    s.take(Bio { group: 3, ..s.bio(0) });
+    s.pass(2_990);
+    s.end(0, 0, Ending::Reset, 2_990);
+    s.pass(LIMIT);
+    assert_eq!(s.sent(), [0]);
+    assert_eq!((s.count(Did::Failed(0)), s.count(Did::Shed(0))), (1, 0));
+}
+
+#[test]
+fn events_for_a_block_io_that_is_over_change_nothing_also_in_a_reused_place() {
+    let mut s = Story::new(&terms());
+    s.take(s.bio(0));
+    s.end(0, 0, Ending::Done, 200);
+    s.end(0, 0, Ending::TimedOut, 200);
+    s.gone(0);
+    let shard = Some(9);
+    s.take(Bio { shard, ..s.bio(0) });
+    s.end(0, 0, Ending::Done, 200);
+    s.pass(LIMIT);
+    assert_eq!((s.count(Did::Released(0)), s.count(Did::Shed(0))), (2, 1));
+}
+
+#[test]
+fn a_client_that_left_is_not_answered_and_its_place_is_kept_until_the_outcome() {
+    let mut s = Story::new(&terms());
+    s.take(s.bio(0));
+    s.gone(0);
+    assert_eq!((s.count(Did::Cancelled(0)), s.count(Did::Released(0))), (1, 0));
+    s.end(0, 0, Ending::Cancelled, 30);
+    assert_eq!((s.count(Did::Released(0)), s.count(Did::Shed(0))), (1, 0));
+}
+
+#[test_case(ListForm::Changes, &[node(0, NodeState::Leaving, 0)]; "draining")]
+#[test_case(ListForm::Changes, &[node(0, NodeState::Left, 0)]; "gone")]
+#[test_case(ListForm::Whole, &[node(1, NodeState::Active, 0)]; "missing from the whole list")]
+fn nothing_new_goes_to_a_node_that_leaves(form: ListForm, entries: &[Listed]) {
+    let mut s = Story::new(&terms());
+    (0..6).for_each(|id| s.take(s.bio(id)));
+    let before = s.sent().len();
+    s.list(form, entries);
+    s.take(s.bio(7));
+    s.pass(LIMIT);
+    assert_eq!(s.sent().len(), before);
+    assert_eq!(s.count(Did::Shed(7)), 1);
+}
+
+#[test]
+fn a_failed_call_to_the_list_is_made_again_ever_later() {
+    let mut s = Story::new(&terms());
+    for _ in 0..4 {
+        s.list(ListForm::Failed, &[]);
+        let asked = s.count(Did::Asked);
+        while s.count(Did::Asked) == asked {
+            s.pass(100);
+        }
+    }
+    let at: Vec<Tick> = s.log.did.iter().filter(|d| d.1 == Did::Asked).map(|d| d.0).collect();
+    assert!(at[3] - at[2] > at[1] - at[0]);
+}
+
+fn cold_terms() -> Terms {
+    let (cold_bears, cold_from, cold_span, fall_span) = (24.0, 0.2, 180_000, 20_000);
+    Terms { hosts: 3, cold_bears, cold_from, cold_span, fall_span, ..terms() }
+}
+
+#[test]
+fn a_host_keeps_to_its_part_of_what_a_cold_node_bears() {
+    let mut s = Story::new(&cold_terms());
+    s.list(ListForm::Changes, &[node(0, NodeState::Active, s.log.now)]);
+    for id in 0..100 {
+        s.take(s.bio(id));
+        s.pass(190);
+        s.end(id, 0, Ending::Done, 50);
+    }
+    let units = 2.0 * s.sent().len() as f64;
+    assert!(units > 0.0 && units <= 24.0 / 3.0);
+}
+
+#[test]
+fn a_host_that_has_just_started_has_spent_its_part_on_a_cold_node() {
+    let mut s = Story::new(&cold_terms());
+    s.list(ListForm::Kept, &[node(0, NodeState::Active, s.log.now - 1_000)]);
+    s.take(s.bio(0));
+    s.pass(GOAL);
+    assert!(s.sent().is_empty());
+}
+
+#[test]
+fn block_ios_of_one_key_run_in_turn_and_the_key_rests_after_a_time_out() {
+    let mut s = Story::new(&terms());
+    s.take(keyed(&s, 0, 1));
+    s.take(keyed(&s, 1, 2));
+    s.take(keyed(&s, 2, 1));
+    s.pass(1_000);
+    assert_eq!(s.sent(), [0]);
+    s.end(0, 0, Ending::TimedOut, 1_000);
+    s.pass(900);
+    assert_eq!(s.sent(), [0]);
+    s.take(keyed(&s, 3, 1));
+    s.pass(GOAL - 100);
+    assert_eq!(s.sent(), [0, 3]);
+}
+
+#[test]
+fn a_key_waits_for_the_submit_of_a_block_io_whose_client_left() {
+    let mut s = Story::new(&terms());
+    s.take(keyed(&s, 0, 1));
+    s.gone(0);
+    s.take(keyed(&s, 1, 1));
+    s.pass(1_000);
+    assert_eq!(s.sent(), [0]);
+}
+
+#[test]
+fn the_budget_of_further_submits_is_counted_when_they_are_sent() {
+    let (budget_free, budget_share, budget_span) = (1.0, 0.5, 3_000);
+    let mut s = Story::new(&Terms { budget_free, budget_share, budget_span, ..terms() });
+    for round in 0..20 {
+        s.take(s.bio(round));
+        for _ in 0..3 {
+            if s.sent().last() == Some(&round) {
+                s.end(round, 0, Ending::Error, 10);
+            }
+            s.pass(700);
+        }
+    }
+    let sends: Vec<(Tick, u32)> = s
+        .log
+        .did
+        .iter()
+        .filter_map(|d| if let Did::Sent(id, _) = d.1 { Some((d.0, id)) } else { None })
+        .collect();
+    let further = |i: &usize| sends[..*i].iter().any(|e| e.1 == sends[*i].1);
+    let again: Vec<usize> = (0..sends.len()).filter(further).collect();
+    assert!(!again.is_empty());
+    for i in &again {
+        let spent = again.iter().filter(|j| *j <= i && sends[**j].0 > sends[*i].0 - 3_000).count();
+        assert!(spent <= 1 + 2, "two block I/Os at most come within the span");
+    }
+}
+
+fn limited(story: &Story, id: u32) -> Bio {
+    Bio { plan: 1, vol: VolId(5), hosts: 2, units: 4.0, ..story.bio(id) }
+}
+
+#[test]
+fn a_host_spends_its_part_of_a_limit_and_a_moot_submit_gives_back() {
+    let mut s = Story::new(&terms());
+    (0..4).for_each(|id| s.take(limited(&s, id)));
+    s.pass(100);
+    assert_eq!(s.sent().len(), 1, "a second of the part of a half has filled");
+    let first = s.sent()[0];
+    s.end(first, 0, Ending::Moot, 0);
+    s.pass(100);
+    assert_eq!(s.sent().len(), 2);
+}
+
+#[test]
+fn a_window_below_one_still_lets_one_out_after_its_pause() {
+    let mut s = Story::new(&terms());
+    (0..400).for_each(|id| s.take(s.bio(id)));
+    serve(&mut s, 1_500);
+    s.log.did.clear();
+    s.pass(LIMIT);
+    s.take(s.bio(500));
+    s.pass(GOAL);
+    assert_eq!(s.sent(), [500]);
+}
+
+#[test]
+fn a_node_that_was_slow_is_tried_again() {
+    let mut s = Story::new(&terms());
+    for id in 0..40 {
+        s.take(s.bio(id));
+        s.pass(3_000);
+        if s.sent().contains(&id) {
+            s.end(id, 0, Ending::Done, 3_000);
+        }
+    }
+    s.pass(60_000);
+    s.log.did.clear();
+    (50..53).for_each(|id| s.take(s.bio(id)));
+    s.pass(10);
+    assert!(!s.sent().is_empty());
+}
+
+#[test]
+fn a_quick_failure_is_no_quick_node() {
+    let mut s = Story::new(&terms());
+    for id in 0..100 {
+        s.take(s.bio(id));
+        for _ in 0..10 {
+            s.pass(10);
+            if s.sent().last() == Some(&id) {
+                s.end(id, 0, Ending::NoConnect, 5);
+            }
+        }
+    }
+    assert!(s.sent().len() < 20, "{} submits in a second to a dead node", s.sent().len());
+}
+
+#[test]
+fn a_retry_has_the_goal_of_its_first_try() {
+    let mut s = Story::new(&terms());
+    (0..6).for_each(|id| s.take(s.bio(id)));
+    let hard_limit = s.log.now + LIMIT - GOAL;
+    s.take(Bio { hard_limit, ..s.bio(9) });
+    s.pass(GOAL / 2);
+    assert_eq!(s.count(Did::Shed(9)), 1, "past its goal it does not wait another one");
+}
+
+#[test]
+fn what_earns_most_goes_first_and_the_rest_waits() {
+    let mut t = terms();
+    t.plans[1] = Plan { price: 0.5, ..t.plans[0].clone() };
+    let mut s = Story::new(&t);
+    (0..4).for_each(|id| s.take(Bio { plan: 1, vol: VolId(3), units: 1.0, ..s.bio(id) }));
+    s.take(s.bio(9));
+    let first = s.sent().len();
+    let id = s.sent()[0];
+    s.end(id, 0, Ending::Done, 200);
+    assert_eq!(s.sent().get(first), Some(&9));
+}
+
+#[test]
+fn a_new_object_whose_node_leaves_moves_on() {
+    let mut s = Story::new(&terms());
+    (0..12).for_each(|id| s.take(Bio { shard: None, ..s.bio(id) }));
+    s.list(ListForm::Changes, &[node(0, NodeState::Left, 0)]);
+    for _ in 0..40 {
+        let all = s.sent();
+        let on_one = s.log.did.iter().filter(|d| matches!(d.1, Did::Sent(_, 1))).count();
+        assert!(on_one <= all.len());
+        if let Some(id) = all.iter().rev().find(|id| s.count(Did::Released(**id)) == 0).copied() {
+            s.end(id, 1, Ending::Done, 100);
+        }
+    }
+    assert!((0..12).all(|id| s.sent().contains(&id) && s.count(Did::Shed(id)) == 0));
+}
+
+#[test]
+fn zeros_in_the_terms_divide_nothing() {
+    let groups = terms().groups;
+    let mut s = Story::new(&Terms { groups, plans: vec![Plan::default()], ..Terms::default() });
+    s.take(Bio { units: 0.0, hosts: 0, ..s.bio(0) });
+    s.pass(1_000);
+    assert_eq!(s.sent(), [0]);
+    s.end(0, 0, Ending::Done, 0);
+    s.take(Bio { units: 8.0, ..s.bio(1) });
+    s.pass(1_000);
+    assert_eq!(s.sent(), [0, 1]);
+}
