--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -31,6 +31,7 @@
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
+const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -609,7 +610,7 @@
             self.spare_gain
         };
         // An answer past the goal earns its part of the least that is still due.
-        let late = if now + node.lat as Tick > slot.goal { group.late * self.spare_gain / tier } else { 1.0 };
+        let late = if now + (SPARE * node.lat) as Tick > slot.goal { group.late * self.spare_gain / tier } else { 1.0 };
         tier * late * group.gain * plan.price
     }
 
@@ -639,7 +640,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.out > 0 || node.wt < 1.0) && now + node.lat as Tick > slot.goal {
+                if (node.out > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
