--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -764,7 +764,7 @@
                 node.failures = 0;
                 if node.lat.max(wait) < WIDEN_BELOW * self.short_goal {
                     if full {
-                        node.wt = (node.wt + WIDEN * node.wt.min(1.0 / node.wt)).min(WT_MAX);
+                        node.wt = (node.wt + WIDEN * (1.0 / node.wt).min(1.0)).min(WT_MAX);
                     }
                 } else if node.lat > NARROW_ABOVE * self.short_goal {
                     node.wt = (node.wt * (1.0 - NARROW / node.wt.max(1.0))).max(WT_LEAST);
