--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,6 +32,7 @@
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
+const LITTLE: f64 = 0.2; // of the most that a unit can earn: below it, a crowded node is left to others
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -154,6 +155,7 @@
     share_gain: f64,
     spare_gain: f64,
     short_goal: f64,
+    most_gain: f64,
     cold: Cold,
     budget: (f64, f64, Tick),
     order_rest: Tick,
@@ -205,6 +207,8 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
+            most_gain: terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
+                * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max),
             short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
             cold: Cold {
                 part: terms.cold_bears / f64::from(terms.hosts.max(1)),
@@ -514,6 +518,7 @@
         // for nothing that must be in time would be sent to it.
         if node.out == 0 {
             node.lat *= FADE;
+            node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
         if node.lat > target {
@@ -644,6 +649,10 @@
                     continue;
                 }
                 let gain = self.density(slot, now, node);
+                // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
+                if node.wt < 1.0 && gain < LITTLE * self.most_gain {
+                    continue;
+                }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
                     best = Some((gain, slot.goal, i));
                 }
