--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,7 +32,6 @@
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
-const LITTLE: f64 = 0.4; // of the most that a unit can earn: below it, a crowded node is left to others
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -650,7 +649,7 @@
                 }
                 let gain = self.density(slot, now, node);
                 // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
-                if node.wt < 1.0 && gain < LITTLE * self.most_gain {
+                if node.wt < 1.0 - gain / self.most_gain {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
