--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -649,7 +649,7 @@
                 }
                 let gain = self.density(slot, now, node);
                 // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
-                if node.wt < 1.0 - gain / self.most_gain {
+                if node.wt < 1.5 * (1.0 - gain / self.most_gain) {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
