--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,6 +32,7 @@
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
+const CROWD: f64 = 0.5; // window asked of what earns nothing, by the root of the hosts: they seldom all crowd one node
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -155,6 +156,7 @@
     spare_gain: f64,
     short_goal: f64,
     most_gain: f64,
+    crowd: f64,
     cold: Cold,
     budget: (f64, f64, Tick),
     order_rest: Tick,
@@ -206,6 +208,7 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
+            crowd: CROWD * f64::from(terms.hosts.max(1)).sqrt(),
             most_gain: terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
                 * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max),
             short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
@@ -649,7 +652,7 @@
                 }
                 let gain = self.density(slot, now, node);
                 // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
-                if node.wt < 1.5 * (1.0 - gain / self.most_gain) {
+                if node.wt < self.crowd * (1.0 - gain / self.most_gain) {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
