--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -592,8 +592,9 @@
             node.shares[i].alloc -= cost;
         } else if node.pool >= cost {
             node.pool -= cost;
-        } else if node.out == 0 {
-            // With nothing of this host's out at the node, waiting for the next window would only leave it idle.
+        } else if node.out == 0 || node.lat < WIDEN_BELOW * self.short_goal {
+            // Where nothing of this host's is out, or the node answers quickly, waiting for the next window would
+            // only leave the node idle: the block I/O goes on credit.
             node.shares[own].alloc -= cost;
         } else {
             return false;
