--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -751,7 +751,7 @@
     /// What an outcome tells of its node.
     fn learn(&mut self, now: Tick, at: NodeId, units: f64, outcome: &Outcome) {
         let Some(node) = self.nodes.get_mut(at.0 as usize) else { return };
-        let full = !node.held.is_empty() || f64::from(node.out) + 1.0 > node.wt;
+        let full = f64::from(node.out) + 1.0 > node.wt;
         node.out = node.out.saturating_sub(1);
         let wait = outcome.wait as f64;
         match outcome.ending {
