--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -33,6 +33,8 @@
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
 const CROWD: f64 = 0.5; // window asked of what earns nothing, by the root of the hosts: they seldom all crowd one node
+const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
+const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -95,7 +97,8 @@
     came_up: Tick,
     first_ok: Tick,
     sent: Ledger,
-    out: u32,
+    out: Vec<(Tick, BioId)>,
+    answered: Tick,
     failures: u32,
     wt: f64,
     mult: f64,
@@ -136,6 +139,18 @@
     rest: Tick,
 }
 
+impl Node {
+    /// How long a submit may take here before it counts as lost.
+    fn patience(&self, goal: f64) -> Tick {
+        (self.lat * LOST).max(goal * LOST_GOAL) as Tick
+    }
+
+    /// Submits out that may still be answered; the lost ones take no part of the window.
+    fn waiting(&self, now: Tick, goal: f64) -> u32 {
+        self.out.iter().filter(|o| now - o.0 <= self.patience(goal)).count() as u32
+    }
+}
+
 impl Volume {
     /// Lets the parts that fall to one host fill up: of the limit, and of the reserve with a second of it.
     fn fill(&mut self, now: Tick, plan: &Plan, largest: f64) {
@@ -357,7 +372,7 @@
         slot.out = false;
         let (step, units, sent) = (slot.step, slot.bio.units, now - outcome.wait);
         let at = outcome.node;
-        self.learn(now, at, units, outcome);
+        self.learn(now, at, id, units, outcome);
         let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
         let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
         if !never_ran {
@@ -377,6 +392,9 @@
             // Whoever is next on the key goes when its rest ends, not a window later.
             self.alarms.push(Reverse((now + self.order_rest + 1, id)));
         }
+        if outcome.ending == Ending::Done {
+            self.call_off_lost(host, now, at);
+        }
         step(self, host, now, id, outcome);
         self.pump(host, now, at);
         self.sleep(host, now);
@@ -518,7 +536,7 @@
         let target = NARROW_ABOVE * self.short_goal;
         // With nothing out the mean wait is hearsay that ages: else a node once slow would count as slow for ever,
         // for nothing that must be in time would be sent to it.
-        if node.out == 0 {
+        if node.out.is_empty() {
             node.lat *= FADE;
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
@@ -592,7 +610,7 @@
             node.shares[i].alloc -= cost;
         } else if node.pool >= cost {
             node.pool -= cost;
-        } else if node.out == 0 || node.lat < WIDEN_BELOW * self.short_goal {
+        } else if node.out.is_empty() || node.lat < WIDEN_BELOW * self.short_goal {
             // Where nothing of this host's is out, or the node answers quickly, waiting for the next window would
             // only leave the node idle: the block I/O goes on credit.
             node.shares[own].alloc -= cost;
@@ -629,11 +647,11 @@
             let fall = self.cold.fall;
             let room = self.cold_room(now, at, fall);
             let further = self.may_send_again(now);
-            let node = &self.nodes[at.0 as usize];
+            let (node, goal) = (&self.nodes[at.0 as usize], self.short_goal);
             if !node.open
                 || now < node.first_ok
                 || node.held.is_empty()
-                || f64::from(node.out) + 1.0 > node.wt.max(1.0)
+                || f64::from(node.waiting(now, goal)) + 1.0 > node.wt.max(1.0)
             {
                 return;
             }
@@ -648,7 +666,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.out > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
+                if (node.waiting(now, goal) > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
@@ -741,18 +759,34 @@
             vol.reserve = (vol.reserve - units).max(0.0);
         }
         let node = &mut self.nodes[at.0 as usize];
-        node.out += 1;
+        node.out.push((now, id));
+        self.alarms.push(Reverse((now + node.patience(self.short_goal) + 1, id)));
         if node.came_up > 0 {
             node.sent.add(now, units);
         }
         host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
     }
 
+    /// Calls off what a node has left unanswered far longer than it takes, and has since overtaken by an answer to
+    /// a later submit: the answer was lost or hangs, the node is well, and another submit may still be in time.
+    /// Guards against lost answers and requests stuck at a node; hurts where a node serves far out of turn.
+    fn call_off_lost(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
+        let node = &self.nodes[at.0 as usize];
+        let since = (now - node.patience(self.short_goal)).min(node.answered);
+        for (sent, id) in &node.out {
+            let slot = self.slots[id.0 as usize].as_ref().expect("out");
+            let repeats = self.groups[slot.bio.group as usize].effect == Effect::Idempotent;
+            if *sent < since && repeats && !slot.over && self.may_cancel {
+                host.cancel(*id, slot.submits - 1);
+            }
+        }
+    }
+
     /// What an outcome tells of its node.
-    fn learn(&mut self, now: Tick, at: NodeId, units: f64, outcome: &Outcome) {
+    fn learn(&mut self, now: Tick, at: NodeId, id: BioId, units: f64, outcome: &Outcome) {
         let Some(node) = self.nodes.get_mut(at.0 as usize) else { return };
-        let full = f64::from(node.out) + 1.0 > node.wt;
-        node.out = node.out.saturating_sub(1);
+        let full = node.out.len() as f64 + 1.0 > node.wt;
+        node.out.retain(|o| o.1 != id);
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
@@ -774,6 +808,7 @@
                 sorted[..n].copy_from_slice(&node.recent);
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
                 node.failures = 0;
+                node.answered = node.answered.max(now - outcome.wait);
                 if node.lat.max(wait) < WIDEN_BELOW * self.short_goal {
                     if full {
                         node.wt = (node.wt + WIDEN * (1.0 / node.wt).min(1.0)).min(WT_MAX);
@@ -832,7 +867,7 @@
                 };
                 let line = |i: &usize| {
                     let n = &nodes[*i];
-                    (f64::from(n.out) + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt
+                    (n.out.len() as f64 + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt
                 };
                 let (a, b) = (draw(), draw());
                 a.zip(b).map(|(a, b)| if line(&a) <= line(&b) { a } else { b })
