--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -33,8 +33,9 @@
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
 const CROWD: f64 = 0.5; // window asked of what earns nothing, by the root of the hosts: they seldom all crowd one node
-const LOST: f64 = 6.0; // mean waits after which a submit out counts as lost: few honest ones take that long
-const LOST_GOAL: f64 = 1.0; // of the shortest latency goal, at least: pauses of a node are no loss
+const LOSING: Tick = 50_000; // ticks: how long one lost answer makes us look out for others
+const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
+const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -145,9 +146,10 @@
         (self.lat * LOST).max(goal * LOST_GOAL) as Tick
     }
 
-    /// Submits out that may still be answered; the lost ones take no part of the window.
-    fn waiting(&self, now: Tick, goal: f64) -> u32 {
-        self.out.iter().filter(|o| now - o.0 <= self.patience(goal)).count() as u32
+    /// Submits out that may still be answered; where answers are known to get lost, the lost ones take no part
+    /// of the window.
+    fn waiting(&self, now: Tick, goal: f64, losing: bool) -> u32 {
+        self.out.iter().filter(|o| !losing || now - o.0 <= self.patience(goal)).count() as u32
     }
 }
 
@@ -192,6 +194,7 @@
     ask_at: Tick,
     ask_wait: Tick,
     waking: Tick,
+    losing: Tick,
 }
 
 impl Scheduler {
@@ -252,6 +255,7 @@
             ask_at,
             ask_wait: ASK_FIRST as Tick,
             waking: Tick::MAX,
+            losing: now,
         }
     }
 
@@ -392,8 +396,11 @@
             // Whoever is next on the key goes when its rest ends, not a window later.
             self.alarms.push(Reverse((now + self.order_rest + 1, id)));
         }
-        if outcome.ending == Ending::Done {
+        if outcome.ending == Ending::Done && now < self.losing {
             self.call_off_lost(host, now, at);
+        } else if outcome.ending == Ending::TimedOut && self.nodes[at.0 as usize].answered > sent {
+            // The node answered a later submit and left this one: answers get lost.
+            self.losing = now + LOSING;
         }
         step(self, host, now, id, outcome);
         self.pump(host, now, at);
@@ -647,11 +654,11 @@
             let fall = self.cold.fall;
             let room = self.cold_room(now, at, fall);
             let further = self.may_send_again(now);
-            let (node, goal) = (&self.nodes[at.0 as usize], self.short_goal);
+            let (node, goal, losing) = (&self.nodes[at.0 as usize], self.short_goal, now < self.losing);
             if !node.open
                 || now < node.first_ok
                 || node.held.is_empty()
-                || f64::from(node.waiting(now, goal)) + 1.0 > node.wt.max(1.0)
+                || f64::from(node.waiting(now, goal, losing)) + 1.0 > node.wt.max(1.0)
             {
                 return;
             }
@@ -666,7 +673,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal) > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
+                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
