--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -704,10 +704,10 @@
     fn cold_room(&mut self, now: Tick, at: NodeId, fall: Tick) -> f64 {
         let node = &mut self.nodes[at.0 as usize];
         let age = now - node.came_up;
-        if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall {
+        if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall / 2 {
             return f64::INFINITY;
         }
-        let warm = (age - fall).max(0) as f64 / self.cold.span.max(1) as f64;
+        let warm = (age - fall / 2).max(0) as f64 / self.cold.span.max(1) as f64;
         let grown = (self.cold.from + (1.0 - self.cold.from) * warm.min(1.0)) / self.cold.from;
         self.cold.part * grown - node.sent.since(now - fall - 1)
     }
