--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -643,7 +643,11 @@
             self.spare_gain
         };
         // An answer past the goal earns its part of the least that is still due.
-        let late = if now + (SPARE * node.lat) as Tick > slot.goal { group.late * self.spare_gain / tier } else { 1.0 };
+        let late = if now + (SPARE * node.lat) as Tick > slot.goal {
+            group.late * self.spare_gain / tier
+        } else {
+            1.0
+        };
         tier * late * group.gain * plan.price
     }
 
@@ -673,7 +677,9 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && now + (SPARE * node.lat) as Tick > slot.goal {
+                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0)
+                    && now + (SPARE * node.lat) as Tick > slot.goal
+                {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
