--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -7,13 +7,13 @@
 /// Tenths of a millisecond on the program's clock, or a span of them.
 pub type Tick = i64;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BioId(pub u32);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct NodeId(pub u32);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct VolId(pub u32);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KeyId(pub u32);
 
 /// What the scheduler asks of the program around it.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,3 +3,4 @@
 mod ledger;
 mod pcg;
 pub mod scheduler;
+mod slab;
--- a/crates/scheduler/src/pcg.rs
+++ b/crates/scheduler/src/pcg.rs
@@ -1,5 +1,6 @@
 //! A permuted congruential generator (PCG-XSH-RR 64/32).
 
+#[derive(Default)]
 pub(crate) struct Pcg(u64);
 
 impl Pcg {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::host::*;
 use crate::ledger::Ledger;
 use crate::pcg::Pcg;
+use crate::slab::Slab;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -63,6 +64,7 @@
     submits: u32,
 }
 
+#[derive(Default)]
 struct Cold {
     part: f64,
     from: f64,
@@ -70,6 +72,7 @@
     fall: Tick,
 }
 
+#[derive(Default)]
 struct Volume {
     plan: usize,
     hosts: f64,
@@ -81,6 +84,7 @@
 }
 
 /// One volume at one node: the design's allocation.
+#[derive(Default)]
 struct Share {
     vol: VolId,
     alloc: f64,
@@ -103,13 +107,12 @@
     failures: u32,
     wt: f64,
     mult: f64,
-    recent: Vec<f64>,
-    recent_at: usize,
+    recent: [f64; RECENT],
+    answers: usize,
     median: f64,
     lat: f64,
     extra: f64,
     pool: f64,
-    used: f64,
     held: Vec<BioId>,
     shares: Vec<Share>,
 }
@@ -164,6 +167,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Scheduler {
     plans: Vec<Plan>,
     groups: Vec<IoGroup>,
@@ -182,11 +186,11 @@
     on_request: bool,
     pcg: Pcg,
     born: Tick,
-    nodes: Vec<Node>,
-    volumes: Vec<Option<Volume>>,
-    keys: Vec<Key>,
+    nodes: Slab<Node>,
+    volumes: Slab<Volume>,
+    keys: Slab<Key>,
     resting: Vec<KeyId>,
-    slots: Vec<Option<Slot>>,
+    slots: Slab<Slot>,
     taken: Ledger,
     further: Ledger,
     alarms: BinaryHeap<Reverse<(Tick, BioId)>>,
@@ -239,23 +243,16 @@
             budget: (terms.budget_free, terms.budget_share, terms.budget_span),
             order_rest: terms.order_rest,
             may_cancel: terms.may_cancel,
-            return_after: if terms.may_name_return { terms.longest_return } else { 0 },
+            return_after: if terms.may_name_return { terms.longest_return.min(WINDOW) } else { 0 },
             on_request: terms.list_on_request,
             pcg,
             born: now,
-            nodes: Vec::new(),
-            volumes: Vec::new(),
-            keys: Vec::new(),
-            resting: Vec::new(),
-            slots: Vec::new(),
-            taken: Ledger::default(),
-            further: Ledger::default(),
-            alarms: BinaryHeap::new(),
             next_window: now + WINDOW,
             ask_at,
             ask_wait: ASK_FIRST as Tick,
             waking: Tick::MAX,
             losing: now,
+            ..Scheduler::default()
         }
     }
 
@@ -274,12 +271,8 @@
             self.nodes.iter_mut().for_each(|n| n.open = false);
         }
         for e in entries {
-            let at = e.node.0 as usize;
-            if self.nodes.len() <= at {
-                self.nodes.resize_with(at + 1, Node::default);
-            }
             let spread = self.pcg.below(RETURN_SPREAD) as Tick;
-            let node = &mut self.nodes[at];
+            let node = self.nodes.enter(e.node.0, Node::default);
             let fresh = node.wt == 0.0;
             (node.shard, node.zone, node.open) = (e.shard, e.zone, e.state == NodeState::Active);
             if fresh || e.came_up > node.came_up {
@@ -296,14 +289,14 @@
             }
         }
         // Nothing new goes to a closed node: what was held for it moves on or gets its answer.
-        for at in 0..self.nodes.len() {
-            if !self.nodes[at].open {
+        for at in self.nodes.places() {
+            if self.nodes.get(at).is_some_and(|n| !n.open) {
                 for id in std::mem::take(&mut self.nodes[at].held) {
                     self.place(host, now, id);
                 }
             }
-            self.pump(host, now, NodeId(at as u32));
         }
+        self.pump_all(host, now, false);
         self.sleep(host, now);
     }
 
@@ -317,22 +310,10 @@
         let waits = bio.hard_limit - now;
         let (ordered, goal) = (group.ordered, now + group.goal - (group.patience - waits).max(0));
         group.patience = group.patience.max(waits);
-        let at = bio.vol.0 as usize;
-        if self.volumes.len() <= at {
-            self.volumes.resize_with(at + 1, || None);
-        }
         let hosts = f64::from(bio.hosts.max(1));
-        let born = self.born;
         // A store opens empty when this host starts: a host that came back may have spent its part before.
-        let vol = self.volumes[at].get_or_insert(Volume {
-            plan: bio.plan as usize,
-            hosts,
-            store: 0.0,
-            reserve: 0.0,
-            filled: born,
-            seen: now,
-            in_hand: 0,
-        });
+        let empty = || Volume { plan: bio.plan as usize, hosts, filled: self.born, ..Volume::default() };
+        let vol = self.volumes.enter(bio.vol.0, empty);
         vol.fill(now, plan, self.largest);
         // The parts add up only if none is ever larger than the smallest that was due.
         vol.hosts = vol.hosts.max(hosts);
@@ -351,11 +332,7 @@
             next_of_key: None,
             step: Self::answer_or_resend,
         };
-        let at = bio.id.0 as usize;
-        if self.slots.len() <= at {
-            self.slots.resize(at + 1, None);
-        }
-        self.slots[at] = Some(slot);
+        self.slots.enter(bio.id.0, || slot);
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
@@ -369,15 +346,16 @@
 
     /// A submit has come out.
     pub fn ended(&mut self, host: &mut dyn Host, now: Tick, id: BioId, outcome: &Outcome) {
-        let Some(slot) = self.slots.get_mut(id.0 as usize).and_then(Option::as_mut) else { return };
-        if !slot.out {
+        // Late, repeated and moot events find no submit out, also where the place is used again.
+        if !self.slots.get(id.0).is_some_and(|s| s.out) {
             return;
         }
+        let slot = &mut self.slots[id.0];
         slot.out = false;
         let (step, units, sent) = (slot.step, slot.bio.units, now - outcome.wait);
         let at = outcome.node;
         self.learn(now, at, id, units, outcome);
-        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        let slot = &mut self.slots[id.0];
         let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
         if !never_ran {
             slot.ran = slot.ran.or(Some((sent, at)));
@@ -385,20 +363,20 @@
         if outcome.ending == Ending::Moot && slot.submits == 1 && slot.drew {
             slot.drew = false;
             let (vol, plan) = (slot.bio.vol, slot.bio.plan);
-            let vol = self.volumes[vol.0 as usize].as_mut().expect("in hand");
+            let vol = &mut self.volumes[vol.0];
             vol.store = (vol.store + units).min(self.plans[plan as usize].burst / vol.hosts);
         }
         // What was cut off may still run: the key rests.
         let cut = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
         if let (Some(key), true) = (slot.bio.key, cut && self.groups[slot.bio.group as usize].ordered) {
-            self.keys[key.0 as usize].rest = now + self.order_rest + 1;
+            self.keys[key.0].rest = now + self.order_rest + 1;
             self.resting.push(key);
             // Whoever is next on the key goes when its rest ends, not a window later.
             self.alarms.push(Reverse((now + self.order_rest + 1, id)));
         }
         if outcome.ending == Ending::Done && now < self.losing {
             self.call_off_lost(host, now, at);
-        } else if outcome.ending == Ending::TimedOut && self.nodes[at.0 as usize].answered > sent {
+        } else if outcome.ending == Ending::TimedOut && self.nodes[at.0].answered > sent {
             // The node answered a later submit and left this one: answers get lost.
             self.losing = now + LOSING;
         }
@@ -409,9 +387,7 @@
 
     /// The client has left, or the host has answered it.
     pub fn gone(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
-        let Some(slot) = self.slots.get_mut(id.0 as usize).and_then(Option::as_mut) else { return };
-        if !slot.over {
-            slot.over = true;
+        if self.slots.get(id.0).is_some_and(|s| !s.over) {
             self.leave(host, now, id);
         }
         self.sleep(host, now);
@@ -442,8 +418,7 @@
             }
             self.alarms.pop();
             // The slot may hold a later block I/O by now, or one that was sent meanwhile.
-            let due = self.slots[id.0 as usize].is_some_and(|s| !s.over && !s.out && s.due <= now);
-            if due {
+            if self.slots.get(id.0).is_some_and(|s| !s.over && !s.out && s.due <= now) {
                 self.give_up(host, now, id);
             }
         }
@@ -452,26 +427,37 @@
             self.next_window = now + WINDOW;
             self.tidy(host, now);
         }
-        for at in (0..self.nodes.len()).map(|at| NodeId(at as u32)) {
-            if turn {
-                self.run_scheduling(at);
+        self.pump_all(host, now, turn);
+        self.sleep(host, now);
+    }
+
+    fn pump_all(&mut self, host: &mut dyn Host, now: Tick, turn: bool) {
+        for at in self.nodes.places() {
+            if self.nodes.get(at).is_some() {
+                if turn {
+                    self.run_scheduling(NodeId(at));
+                }
+                self.pump(host, now, NodeId(at));
             }
-            self.pump(host, now, at);
         }
-        self.sleep(host, now);
     }
 
     /// Forgets volumes and keys that are of no more use.
     fn tidy(&mut self, host: &mut dyn Host, now: Tick) {
-        for at in 0..self.volumes.len() {
-            if self.volumes[at].as_ref().is_some_and(|v| v.in_hand == 0 && now - v.seen > IDLE_VOLUME) {
-                self.volumes[at] = None;
-                self.nodes.iter_mut().for_each(|n| n.shares.retain(|s| s.vol.0 as usize != at));
-                host.release_volume(VolId(at as u32));
+        let (plans, largest) = (&self.plans, self.largest);
+        let done = |v: &mut Volume| {
+            v.fill(now, &plans[v.plan], largest);
+            v.in_hand == 0 && now - v.seen > IDLE_VOLUME && v.store >= plans[v.plan].burst / v.hosts
+        };
+        for at in self.volumes.places() {
+            if self.volumes.get(at).is_some() && done(&mut self.volumes[at]) {
+                self.volumes.remove(at);
+                self.nodes.iter_mut().for_each(|n| n.shares.retain(|s| s.vol.0 != at));
+                host.release_volume(VolId(at));
             }
         }
         for i in (0..self.resting.len()).rev() {
-            let (key, state) = (self.resting[i], &mut self.keys[self.resting[i].0 as usize]);
+            let (key, state) = (self.resting[i], &mut self.keys[self.resting[i].0]);
             if state.rest <= now {
                 self.resting.swap_remove(i);
                 if state.users == 0 && state.rest > 0 {
@@ -484,40 +470,36 @@
 
     /// A block I/O takes its turn behind the others of its key, or only counts as a user of it.
     fn join(&mut self, key: KeyId, id: BioId, ordered: bool) {
-        let at = key.0 as usize;
-        if self.keys.len() <= at {
-            self.keys.resize(at + 1, Key::default());
-        }
-        self.keys[at].users += 1;
+        let state = self.keys.enter(key.0, Key::default);
+        state.users += 1;
         if !ordered {
             return;
         }
-        let Some(mut last) = self.keys[at].head else {
-            self.keys[at].head = Some(id);
+        let Some(mut last) = state.head else {
+            state.head = Some(id);
             return;
         };
-        while let Some(next) = self.slots[last.0 as usize].as_ref().expect("queued").next_of_key {
+        while let Some(next) = self.slots[last.0].next_of_key {
             last = next;
         }
-        self.slots[last.0 as usize].as_mut().expect("queued").next_of_key = Some(id);
+        self.slots[last.0].next_of_key = Some(id);
     }
 
     /// A block I/O that is over and has no submit out gives up its turn, wherever it stands.
     fn part(&mut self, host: &mut dyn Host, now: Tick, key: KeyId, id: BioId, next: Option<BioId>) {
-        let at = key.0 as usize;
-        if self.keys[at].head == Some(id) {
-            self.keys[at].head = next;
+        let state = &mut self.keys[key.0];
+        if state.head == Some(id) {
+            state.head = next;
         } else {
-            let mut before = self.keys[at].head;
-            while let Some(slot) = before.and_then(|b| self.slots[b.0 as usize].as_mut()) {
-                before = slot.next_of_key;
+            let mut before = state.head;
+            while let Some(b) = before {
+                before = self.slots[b.0].next_of_key;
                 if before == Some(id) {
-                    slot.next_of_key = next;
+                    self.slots[b.0].next_of_key = next;
                     break;
                 }
             }
         }
-        let state = &mut self.keys[at];
         state.users -= 1;
         if state.users == 0 && state.rest <= now {
             state.rest = 0;
@@ -529,7 +511,7 @@
     fn sleep(&mut self, host: &mut dyn Host, now: Tick) {
         let alarm = self.alarms.peek().map_or(Tick::MAX, |a| a.0.0);
         let rested = |n: &Node| if n.held.is_empty() || n.first_ok <= now { Tick::MAX } else { n.first_ok };
-        let rested = self.nodes.iter().map(rested).min().unwrap_or(Tick::MAX);
+        let rested = self.nodes.iter().map(|(_, n)| rested(n)).min().unwrap_or(Tick::MAX);
         let due = self.next_window.min(alarm).min(self.ask_at).min(rested).max(now + 1);
         if due < self.waking {
             self.waking = due;
@@ -539,7 +521,7 @@
 
     /// Both passes of the design's Algorithm 1 for one node.
     fn run_scheduling(&mut self, at: NodeId) {
-        let node = &mut self.nodes[at.0 as usize];
+        let node = &mut self.nodes[at.0];
         let target = NARROW_ABOVE * self.short_goal;
         // With nothing out the mean wait is hearsay that ages: else a node once slow would count as slow for ever,
         // for nothing that must be in time would be sent to it.
@@ -555,13 +537,13 @@
         }
         node.shares.iter_mut().for_each(|s| s.held = 0.0);
         for id in &node.held {
-            let bio = &self.slots[id.0 as usize].as_ref().expect("held").bio;
+            let bio = &self.slots[id.0].bio;
             if let Some(s) = node.shares.iter_mut().find(|s| s.vol == bio.vol) {
                 s.held += bio.units;
             }
         }
         let figures = |s: &Share| {
-            let vol = self.volumes[s.vol.0 as usize].as_ref().expect("volume of a share");
+            let vol = &self.volumes[s.vol.0];
             let plan = &self.plans[vol.plan];
             let ceiling = (plan.limit * WINDOW as f64 + plan.burst) / vol.hosts;
             (plan.reserve * WINDOW as f64 / vol.hosts, ceiling, plan.wt)
@@ -589,13 +571,12 @@
             s.burst = s.alloc > base;
             s.used = 0.0;
         }
-        node.used = 0.0;
     }
 
     /// The design's order: own allocation, the richer of two bursting volumes', the pool, else wait.
     /// An allocation in the black may be overdrawn and pays back later, for a block I/O may cost many windows.
     fn admit(&mut self, at: NodeId, vol: VolId, units: f64) -> bool {
-        let node = &mut self.nodes[at.0 as usize];
+        let node = &mut self.nodes[at.0];
         let cost = units * node.mult;
         let own = node.shares.iter().position(|s| s.vol == vol).expect("placed");
         let payer = if node.shares[own].alloc > 0.0 {
@@ -625,14 +606,13 @@
             return false;
         }
         node.shares[own].used += cost;
-        node.used += cost;
         true
     }
 
     /// What a unit of this block I/O would still earn if it were sent now.
     fn density(&self, slot: &Slot, now: Tick, node: &Node) -> f64 {
         let group = &self.groups[slot.bio.group as usize];
-        let vol = self.volumes[slot.bio.vol.0 as usize].as_ref().expect("in hand");
+        let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
         let share = node.shares.iter().find(|s| s.vol == slot.bio.vol);
         let tier = if vol.reserve * 2.0 >= slot.bio.units {
@@ -658,7 +638,7 @@
             let fall = self.cold.fall;
             let room = self.cold_room(now, at, fall);
             let further = self.may_send_again(now);
-            let (node, goal, losing) = (&self.nodes[at.0 as usize], self.short_goal, now < self.losing);
+            let (node, goal, losing) = (&self.nodes[at.0], self.short_goal, now < self.losing);
             if !node.open
                 || now < node.first_ok
                 || node.held.is_empty()
@@ -668,7 +648,7 @@
             }
             let mut best: Option<(f64, Tick, usize)> = None;
             for (i, id) in node.held.iter().enumerate() {
-                let slot = self.slots[id.0 as usize].as_ref().expect("held");
+                let slot = &self.slots[id.0];
                 let place = node.shares.iter().position(|s| s.vol == slot.bio.vol).expect("placed");
                 if passed >> (place as u64 & 63) & 1 == 1 || slot.submits > 0 && !further {
                     continue;
@@ -693,14 +673,14 @@
             }
             let Some((_, _, i)) = best else { return };
             let id = node.held[i];
-            let bio = self.slots[id.0 as usize].as_ref().expect("held").bio;
+            let bio = self.slots[id.0].bio;
             if !self.admit(at, bio.vol, bio.units) {
-                let node = &self.nodes[at.0 as usize];
+                let node = &self.nodes[at.0];
                 let place = node.shares.iter().position(|s| s.vol == bio.vol).expect("placed");
                 passed |= 1 << (place as u64 & 63);
                 continue;
             }
-            self.nodes[at.0 as usize].held.swap_remove(i);
+            self.nodes[at.0].held.swap_remove(i);
             self.send(host, now, id, at);
         }
     }
@@ -708,7 +688,7 @@
     /// Units that this host may still send to a node that has just started; the rest is the other hosts' part.
     /// Its part grows no faster than the slowest warm-up that the terms allow.
     fn cold_room(&mut self, now: Tick, at: NodeId, fall: Tick) -> f64 {
-        let node = &mut self.nodes[at.0 as usize];
+        let node = &mut self.nodes[at.0];
         let age = now - node.came_up;
         if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall / 2 {
             return f64::INFINITY;
@@ -730,12 +710,12 @@
     fn may_send(&self, slot: &Slot, now: Tick, at: NodeId, room: f64) -> bool {
         let group = &self.groups[slot.bio.group as usize];
         if let (Some(key), true) = (slot.bio.key, group.ordered) {
-            let key = &self.keys[key.0 as usize];
+            let key = &self.keys[key.0];
             if key.head != Some(slot.bio.id) || slot.submits == 0 && now < key.rest {
                 return false;
             }
         }
-        let vol = self.volumes[slot.bio.vol.0 as usize].as_ref().expect("in hand");
+        let vol = &self.volumes[slot.bio.vol.0];
         let limited = self.plans[vol.plan].limit.is_finite();
         if limited && !slot.drew && vol.store < slot.bio.units || slot.bio.units > room {
             return false;
@@ -744,7 +724,7 @@
             Effect::Idempotent => true,
             Effect::SideEffecting => false,
             Effect::Fingerprinted { scope, memory } => {
-                let (a, b) = (&self.nodes[first.0 as usize], &self.nodes[at.0 as usize]);
+                let (a, b) = (&self.nodes[first.0], &self.nodes[at.0]);
                 now + LAST_CALL < sent + memory
                     && match scope {
                         Scope::All => true,
@@ -756,22 +736,21 @@
     }
 
     fn send(&mut self, host: &mut dyn Host, now: Tick, id: BioId, at: NodeId) {
-        let slot = self.slots[id.0 as usize].as_mut().expect("held");
+        let slot = &mut self.slots[id.0];
         let units = slot.bio.units;
         if slot.submits > 0 {
             self.further.add(now, 1.0);
         }
         slot.submits += 1;
         slot.out = true;
-        slot.step = Self::answer_or_resend;
-        let vol = self.volumes[slot.bio.vol.0 as usize].as_mut().expect("in hand");
+        let vol = &mut self.volumes[slot.bio.vol.0];
         if !slot.drew {
             slot.drew = true;
             vol.fill(now, &self.plans[vol.plan], self.largest);
             vol.store -= units;
             vol.reserve = (vol.reserve - units).max(0.0);
         }
-        let node = &mut self.nodes[at.0 as usize];
+        let node = &mut self.nodes[at.0];
         node.out.push((now, id));
         self.alarms.push(Reverse((now + node.patience(self.short_goal) + 1, id)));
         if node.came_up > 0 {
@@ -784,10 +763,10 @@
     /// a later submit: the answer was lost or hangs, the node is well, and another submit may still be in time.
     /// Guards against lost answers and requests stuck at a node; hurts where a node serves far out of turn.
     fn call_off_lost(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
-        let node = &self.nodes[at.0 as usize];
+        let node = &self.nodes[at.0];
         let since = (now - node.patience(self.short_goal)).min(node.answered);
         for (sent, id) in &node.out {
-            let slot = self.slots[id.0 as usize].as_ref().expect("out");
+            let slot = &self.slots[id.0];
             let repeats = self.groups[slot.bio.group as usize].effect == Effect::Idempotent;
             if *sent < since && repeats && !slot.over && self.may_cancel {
                 host.cancel(*id, slot.submits - 1);
@@ -797,7 +776,7 @@
 
     /// What an outcome tells of its node.
     fn learn(&mut self, now: Tick, at: NodeId, id: BioId, units: f64, outcome: &Outcome) {
-        let Some(node) = self.nodes.get_mut(at.0 as usize) else { return };
+        let node = &mut self.nodes[at.0];
         let full = node.out.len() as f64 + 1.0 > node.wt;
         node.out.retain(|o| o.1 != id);
         let wait = outcome.wait as f64;
@@ -805,20 +784,11 @@
             Ending::Done => {
                 node.lat += (wait - node.lat) * LAT_STEP;
                 let per_unit = wait / units.max(1.0);
-                if per_unit > 2.0 * node.median {
-                    node.mult = (node.mult * MULT_UP).min(MULT_RANGE.1);
-                } else {
-                    node.mult = (node.mult * MULT_DOWN).max(MULT_RANGE.0);
-                }
-                if node.recent.len() < RECENT {
-                    node.recent.push(per_unit);
-                } else {
-                    node.recent[node.recent_at] = per_unit;
-                }
-                node.recent_at = (node.recent_at + 1) % RECENT;
-                let mut sorted = [0.0; RECENT];
-                let n = node.recent.len();
-                sorted[..n].copy_from_slice(&node.recent);
+                let step = if per_unit > 2.0 * node.median { MULT_UP } else { MULT_DOWN };
+                node.mult = (node.mult * step).clamp(MULT_RANGE.0, MULT_RANGE.1);
+                node.recent[node.answers % RECENT] = per_unit;
+                node.answers += 1;
+                let (mut sorted, n) = (node.recent, node.answers.min(RECENT));
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
                 node.failures = 0;
                 node.answered = node.answered.max(now - outcome.wait);
@@ -846,9 +816,8 @@
 
     /// The step of a block I/O whose client still waits.
     fn answer_or_resend(&mut self, host: &mut dyn Host, now: Tick, id: BioId, outcome: &Outcome) {
-        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
-        if slot.over || outcome.closed || outcome.ending == Ending::Done {
-            slot.over = true;
+        let slot = &self.slots[id.0];
+        if outcome.closed || outcome.ending == Ending::Done {
             return self.leave(host, now, id);
         }
         let group = &self.groups[slot.bio.group as usize];
@@ -860,54 +829,44 @@
         self.place(host, now, id);
     }
 
+    /// The step of a block I/O that is over: nothing but its place is left to give back.
+    fn settle(&mut self, host: &mut dyn Host, now: Tick, id: BioId, _outcome: &Outcome) {
+        self.leave(host, now, id);
+    }
+
     /// Finds the node of a block I/O and puts it among those held there; without a node it gets its answer.
     fn place(&mut self, host: &mut dyn Host, now: Tick, id: BioId) -> Option<NodeId> {
-        let slot = self.slots[id.0 as usize].as_ref().expect("in hand");
+        let slot = &self.slots[id.0];
         let (bio, last) = (slot.bio, slot.node);
         let nodes = &self.nodes;
-        let found = match bio.shard {
-            Some(shard) => {
-                let of_shard = |n: &(usize, &Node)| n.1.open && n.1.shard == shard;
-                nodes.iter().enumerate().filter(of_shard).max_by_key(|(_, n)| n.came_up).map(|(i, _)| i)
-            }
-            None => {
-                // Two at random, the one with the shorter line by this host's own counts; not the last one again.
-                let open = |n: &(usize, &Node)| n.1.open && last != Some(NodeId(n.0 as u32));
-                let count = nodes.iter().enumerate().filter(open).count() as u64;
-                let mut draw = || {
-                    let nth = self.pcg.below(count) as usize;
-                    nodes.iter().enumerate().filter(open).nth(nth).map(|(i, _)| i)
-                };
-                let line = |i: &usize| {
-                    let n = &nodes[*i];
-                    (n.out.len() as f64 + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt
-                };
-                let (a, b) = (draw(), draw());
-                a.zip(b).map(|(a, b)| if line(&a) <= line(&b) { a } else { b })
-            }
+        let open = nodes.iter().filter(|(_, n)| n.open);
+        let found = if let Some(shard) = bio.shard {
+            open.filter(|(_, n)| n.shard == shard).max_by_key(|(_, n)| n.came_up).map(|(at, _)| at)
+        } else {
+            // Two at random, the one with the shorter line by this host's own counts; not the last one again.
+            let others = open.filter(|(at, _)| last != Some(NodeId(*at)));
+            let count = others.clone().count() as u64;
+            let (a, b) = (self.pcg.below(count) as usize, self.pcg.below(count) as usize);
+            let line = |n: &Node| (n.out.len() as f64 + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt;
+            let pair = others.clone().nth(a).zip(others.clone().nth(b));
+            let better = pair.map(|(a, b)| if line(a.1) <= line(b.1) { a.0 } else { b.0 });
+            better.or(last.map(|l| l.0).filter(|l| nodes[*l].open))
         };
         let Some(at) = found else {
             self.give_up(host, now, id);
             return None;
         };
-        let at = NodeId(at as u32);
-        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
+        let at = NodeId(at);
+        let slot = &mut self.slots[id.0];
         slot.node = Some(at);
         // Held past its goal it is given up, after each submit anew.
         slot.due = (bio.hard_limit - LAST_CALL).min(slot.goal.max(now + HOPELESS));
         self.alarms.push(Reverse((slot.due, id)));
-        let vol = self.volumes[bio.vol.0 as usize].as_ref().expect("in hand");
+        let vol = &self.volumes[bio.vol.0];
         let base = self.plans[vol.plan].reserve * WINDOW as f64 / vol.hosts;
-        let node = &mut self.nodes[at.0 as usize];
+        let node = &mut self.nodes[at.0];
         if !node.shares.iter().any(|s| s.vol == bio.vol) {
-            node.shares.push(Share {
-                vol: bio.vol,
-                alloc: base,
-                used: 0.0,
-                held: 0.0,
-                hist: base,
-                burst: false,
-            });
+            node.shares.push(Share { vol: bio.vol, alloc: base, hist: base, ..Share::default() });
         }
         node.held.push(id);
         Some(at)
@@ -915,8 +874,7 @@
 
     /// The final answer of what will not be served, at once.
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
-        let slot = self.slots[id.0 as usize].as_mut().expect("in hand");
-        slot.over = true;
+        let slot = &self.slots[id.0];
         let harmless = slot.ran.is_none()
             || match self.groups[slot.bio.group as usize].effect {
                 Effect::Idempotent => true,
@@ -924,8 +882,7 @@
                 Effect::SideEffecting => false,
             };
         if harmless {
-            let back = self.return_after.min(WINDOW);
-            host.shed(id, back);
+            host.shed(id, self.return_after);
         } else {
             host.fail(id);
         }
@@ -934,7 +891,8 @@
 
     /// A block I/O that is over leaves the held ones; with its submit in, its key and its place as well.
     fn leave(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
-        let slot = self.slots[id.0 as usize].as_ref().expect("in hand");
+        let slot = &mut self.slots[id.0];
+        (slot.over, slot.step) = (true, Self::settle);
         let (bio, node, next) = (slot.bio, slot.node, slot.next_of_key);
         if slot.out {
             if self.may_cancel {
@@ -943,13 +901,13 @@
             return;
         }
         if let Some(node) = node {
-            self.nodes[node.0 as usize].held.retain(|h| *h != id);
+            self.nodes[node.0].held.retain(|h| *h != id);
         }
-        self.volumes[bio.vol.0 as usize].as_mut().expect("in hand").in_hand -= 1;
+        self.volumes[bio.vol.0].in_hand -= 1;
         if let Some(key) = bio.key {
             self.part(host, now, key, id, next);
         }
-        self.slots[id.0 as usize] = None;
+        self.slots.remove(id.0);
         host.release_bio(id);
     }
 }
