--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -104,7 +104,6 @@
     sent: Ledger,
     out: Vec<(Tick, BioId)>,
     answered: Tick,
-    missed: bool,
     failures: u32,
     wt: f64,
     mult: f64,
@@ -375,15 +374,11 @@
             // Whoever is next on the key goes when its rest ends, not a window later.
             self.alarms.push(Reverse((now + self.order_rest + 1, id)));
         }
-        // A time-out at a node that answered a later submit, or answers the next one quickly: answers get lost.
-        let node = &mut self.nodes[at.0];
-        let quick = outcome.ending == Ending::Done && outcome.wait < node.patience(self.short_goal);
-        if node.missed && quick || outcome.ending == Ending::TimedOut && node.answered > sent {
-            self.losing = now + LOSING;
-        }
-        node.missed = outcome.ending == Ending::TimedOut || node.missed && outcome.ending != Ending::Done;
-        if quick && now < self.losing {
+        if outcome.ending == Ending::Done && now < self.losing {
             self.call_off_lost(host, now, at);
+        } else if outcome.ending == Ending::TimedOut && self.nodes[at.0].answered > sent {
+            // The node answered a later submit and left this one: answers get lost.
+            self.losing = now + LOSING;
         }
         step(self, host, now, id, outcome);
         self.pump(host, now, at);
