--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -801,6 +801,8 @@
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
+            // The node has answered a later submit: this one was lost, the node is well.
+            Ending::TimedOut if node.answered > now - outcome.wait => {}
             // A quick failure is no quick answer: it narrows the window like a slow one and leaves the mean alone.
             _ => {
                 node.wt = (node.wt * (1.0 - NARROW)).max(WT_LEAST);
