--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -27,7 +27,7 @@
 const WIDEN_BELOW: f64 = 0.20; // of the shortest latency goal: a wait below it leaves room at the node
 const NARROW_ABOVE: f64 = 0.28; // of the same: the rest of the goal is for what waits here
 const WIDEN: f64 = 0.05; // submits that a full window gains by a round of quick answers
-const QUICK: f64 = 1.25; // of a node's quick answers: a wait near the best it does leaves room as well
+const QUICK: f64 = 2.0; // of a node's quick answers: a wait near the best it does leaves room as well
 const NARROW: f64 = 0.1; // part of the window that a round of slow answers, or a failure, takes away
 const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
@@ -791,7 +791,7 @@
                 node.answers += 1;
                 let (mut sorted, n) = (node.recent, node.answers.min(RECENT));
                 node.median = *sorted[..n].select_nth_unstable_by(n / 2, f64::total_cmp).1;
-                let quick = *sorted[..n].select_nth_unstable_by(n / 4, f64::total_cmp).1 * self.mean_units;
+                let quick = *sorted[..n].select_nth_unstable_by(n / 10, f64::total_cmp).1 * self.mean_units;
                 let room = (QUICK * quick).clamp(WIDEN_BELOW * self.short_goal, 0.4 * self.short_goal);
                 node.failures = 0;
                 node.answered = node.answered.max(now - outcome.wait);
