--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -664,7 +664,9 @@
                 }
                 let gain = self.density(slot, now, node);
                 // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
-                if node.wt < self.crowd * (1.0 - gain / self.most_gain) {
+                // Likewise what is left of a cold node's part is kept for the best.
+                let lacks = 1.0 - gain / self.most_gain;
+                if node.wt < self.crowd * lacks || slot.bio.units + self.cold.part * lacks > room {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
