--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -758,7 +758,11 @@
         if node.came_up > 0 {
             node.sent.add(now, units);
         }
-        host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
+        // A new object may go elsewhere: it waits here only as long as the node lately takes, however slow all are.
+        let elsewhere =
+            slot.bio.shard.is_none() && self.groups[slot.bio.group as usize].effect == Effect::Idempotent;
+        let patience = if elsewhere { node.patience(self.short_goal) } else { Tick::MAX };
+        host.submit(id, at, patience.min(slot.bio.hard_limit - now - LAST_CALL / 3));
     }
 
     /// Calls off what a node has left unanswered far longer than it takes, and has since overtaken by an answer to
@@ -849,7 +853,14 @@
             let others = open.filter(|(at, _)| last != Some(NodeId(*at)));
             let count = others.clone().count() as u64;
             let (a, b) = (self.pcg.below(count) as usize, self.pcg.below(count) as usize);
-            let line = |n: &Node| (n.out.len() as f64 + n.held.len() as f64 + 1.0) * (n.lat + 1.0) / n.wt;
+            // A node that leaves a submit unanswered is as slow as that submit is old.
+            let line = |n: &Node| {
+                let oldest = n.out.first().map_or(0, |o| now - o.0) as f64;
+                (n.out.len() + n.held.len() + 1) as f64
+                    * f64::from(n.failures + 1)
+                    * (n.lat.max(oldest) + 1.0)
+                    / n.wt
+            };
             let pair = others.clone().nth(a).zip(others.clone().nth(b));
             let better = pair.map(|(a, b)| if line(a.1) <= line(b.1) { a.0 } else { b.0 });
             better.or(last.map(|l| l.0).filter(|l| nodes[*l].open))
