--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -758,11 +758,7 @@
         if node.came_up > 0 {
             node.sent.add(now, units);
         }
-        // A new object may go elsewhere: it waits here only as long as the node lately takes, however slow all are.
-        let elsewhere =
-            slot.bio.shard.is_none() && self.groups[slot.bio.group as usize].effect == Effect::Idempotent;
-        let patience = if elsewhere { node.patience(self.short_goal) } else { Tick::MAX };
-        host.submit(id, at, patience.min(slot.bio.hard_limit - now - LAST_CALL / 3));
+        host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
     }
 
     /// Calls off what a node has left unanswered far longer than it takes, and has since overtaken by an answer to
