--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -435,13 +435,6 @@
         for at in self.nodes.places() {
             if self.nodes.get(at).is_some() {
                 if turn {
-                    // A new object that this node has not taken within a window draws again.
-                    let (slots, held) = (&self.slots, &mut self.nodes[at].held);
-                    let moves: Vec<BioId> =
-                        held.extract_if(.., |id| slots[id.0].bio.shard.is_none()).collect();
-                    for id in moves {
-                        self.place(host, now, id);
-                    }
                     self.run_scheduling(NodeId(at));
                 }
                 self.pump(host, now, NodeId(at));
