--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -38,6 +38,7 @@
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
+const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
@@ -81,6 +82,8 @@
     filled: Tick,
     seen: Tick,
     in_hand: u32,
+    told: f64,
+    others: Option<f64>,
 }
 
 /// One volume at one node: the design's allocation.
@@ -184,6 +187,7 @@
     may_cancel: bool,
     return_after: Tick,
     on_request: bool,
+    counts_others: bool,
     pcg: Pcg,
     born: Tick,
     nodes: Slab<Node>,
@@ -245,6 +249,7 @@
             may_cancel: terms.may_cancel,
             return_after: if terms.may_name_return { terms.longest_return.min(WINDOW) } else { 0 },
             on_request: terms.list_on_request,
+            counts_others: terms.counts_others,
             pcg,
             born: now,
             next_window: now + WINDOW,
@@ -360,6 +365,12 @@
         if !never_ran {
             slot.ran = slot.ran.or(Some((sent, at)));
         }
+        if self.counts_others && outcome.ending == Ending::Done {
+            // After a silence the count is of long ago: more than a store's worth says no more than that.
+            let vol = &mut self.volumes[slot.bio.vol.0];
+            vol.told += outcome.by_others.clamp(0.0, self.plans[vol.plan].burst);
+            vol.others = vol.others.or(Some(0.0));
+        }
         if outcome.ending == Ending::Moot && slot.submits == 1 && slot.drew {
             slot.drew = false;
             let (vol, plan) = (slot.bio.vol, slot.bio.plan);
@@ -447,6 +458,8 @@
         let (plans, largest) = (&self.plans, self.largest);
         let done = |v: &mut Volume| {
             v.fill(now, &plans[v.plan], largest);
+            let rate = std::mem::take(&mut v.told) / WINDOW as f64;
+            v.others = v.others.map(|o| o + (rate - o) * OTHERS_STEP);
             v.in_hand == 0 && now - v.seen > IDLE_VOLUME && v.store >= plans[v.plan].burst / v.hosts
         };
         for at in self.volumes.places() {
@@ -545,7 +558,10 @@
         let figures = |s: &Share| {
             let vol = &self.volumes[s.vol.0];
             let plan = &self.plans[vol.plan];
-            let ceiling = (plan.limit * WINDOW as f64 + plan.burst) / vol.hosts;
+            // The limit less what others are told to use; the even part before they are, and at least.
+            let even = plan.limit / vol.hosts;
+            let rate = vol.others.map_or(even, |o| (plan.limit - o).max(even));
+            let ceiling = rate * WINDOW as f64 + plan.burst / vol.hosts;
             (plan.reserve * WINDOW as f64 / vol.hosts, ceiling, plan.wt)
         };
         let bases: f64 = node.shares.iter().map(|s| figures(s).0).sum();
