--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -122,7 +122,7 @@
 }
 
 /// A block I/O as it comes in.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Bio {
     pub id: BioId,
     pub group: u16,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,7 +2,7 @@
 //!
 //! Make a `Scheduler` with the deployment's `Terms`, then call `listed`, `take`, `ended`, `gone`, `probed`,
 //! `heard` and `woken` as things happen, each with the time and the `Host` that carries the answers out.
-//! Host, terms and index types are in `host.rs`; `docs/design.md` tells what follows the paper and what departs.
+//! Host, terms and index types are in `host.rs`; `docs/design.md` tells what is kept of the paper.
 
 use crate::host::*;
 use crate::ledger::Ledger;
@@ -32,8 +32,7 @@
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
-const SPARE: f64 = 1.5; // mean waits that must be left to the goal: half as much again for those that take longer
-const CROWD: f64 = 0.5; // window asked of what earns nothing, by the root of the hosts: they seldom all crowd one node
+const CROWD: f64 = 0.5; // window asked of what earns nothing, times the root of the host count
 const LOSING: Tick = 50_000; // ticks: how long one lost answer makes us look out for others
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
@@ -120,10 +119,10 @@
     shares: Vec<Share>,
 }
 
-/// What a block I/O does with the outcome of its submit.
+/// What a block I/O does with the outcome of its submit; once over, it only gives back its place.
 type Step = fn(&mut Scheduler, &mut dyn Host, Tick, BioId, &Outcome);
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Slot {
     bio: Bio,
     node: Option<NodeId>,
@@ -135,7 +134,7 @@
     drew: bool,
     ran: Option<(Tick, NodeId)>,
     next_of_key: Option<BioId>,
-    step: Step,
+    step: Option<Step>,
 }
 
 /// A key in use: the first of its ordered block I/Os, all that name it, and until when it rests.
@@ -147,13 +146,22 @@
 }
 
 impl Node {
+    /// The place of a volume's share; each volume with a block I/O here has one.
+    fn share(&self, vol: VolId) -> usize {
+        self.shares.iter().position(|s| s.vol == vol).expect("placed")
+    }
+
     /// How long a submit may take here before it counts as lost.
     fn patience(&self, goal: f64) -> Tick {
         (self.lat * LOST).max(goal * LOST_GOAL) as Tick
     }
 
-    /// Submits out that may still be answered; where answers are known to get lost, the lost ones take no part
-    /// of the window.
+    /// Whether what is sent now is likely to miss its goal.
+    fn late(&self, now: Tick, goal: Tick) -> bool {
+        now + self.lat as Tick > goal
+    }
+
+    /// Submits out that may still be answered; where answers get lost, the lost ones take no room.
     fn waiting(&self, now: Tick, goal: f64, losing: bool) -> u32 {
         self.out.iter().filter(|o| !losing || now - o.0 <= self.patience(goal)).count() as u32
     }
@@ -214,6 +222,7 @@
             wt: if p.wt > 0.0 { p.wt } else { 1.0 },
             price: p.price,
         };
+        let hosts = f64::from(terms.hosts.max(1));
         let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
@@ -234,12 +243,12 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
-            crowd: CROWD * f64::from(terms.hosts.max(1)).sqrt(),
+            crowd: CROWD * hosts.sqrt(),
             most_gain: terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
                 * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max),
             short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
             cold: Cold {
-                part: terms.cold_bears / f64::from(terms.hosts.max(1)),
+                part: terms.cold_bears / hosts,
                 from: terms.cold_from.clamp(0.01, 1.0),
                 span: terms.cold_span,
                 fall: terms.fall_span,
@@ -288,7 +297,7 @@
                     node.first_ok = now + spread;
                 }
                 if e.came_up > 0 && form == ListForm::Kept {
-                    // A host that has itself just started may have spent its part on this node before it died.
+                    // A host that has itself just started may have spent its part here before it died.
                     node.sent.add(now, self.cold.part);
                 }
             }
@@ -310,8 +319,8 @@
         self.taken.add(now, 1.0);
         let group = &mut self.groups[bio.group as usize];
         let plan = &self.plans[bio.plan as usize];
-        // A client's retry keeps the hard limit of its first try, and so its latency goal: a wait shorter than
-        // the longest seen in the I/O group tells how long ago that was.
+        // A client's retry keeps the hard limit of its first try, and so its latency goal: a wait shorter
+        // than the longest seen in the I/O group tells how long ago that was.
         let waits = bio.hard_limit - now;
         let (ordered, goal) = (group.ordered, now + group.goal - (group.patience - waits).max(0));
         group.patience = group.patience.max(waits);
@@ -324,20 +333,8 @@
         vol.hosts = vol.hosts.max(hosts);
         vol.seen = now;
         vol.in_hand += 1;
-        let slot = Slot {
-            bio,
-            node: None,
-            goal,
-            due: Tick::MAX,
-            submits: 0,
-            out: false,
-            over: false,
-            drew: false,
-            ran: None,
-            next_of_key: None,
-            step: Self::answer_or_resend,
-        };
-        self.slots.enter(bio.id.0, || slot);
+        let step: Option<Step> = Some(Self::answer_or_resend);
+        self.slots.enter(bio.id.0, || Slot { bio, goal, due: Tick::MAX, step, ..Slot::default() });
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
@@ -391,7 +388,10 @@
             // The node answered a later submit and left this one: answers get lost.
             self.losing = now + LOSING;
         }
-        step(self, host, now, id, outcome);
+        match step {
+            Some(step) => step(self, host, now, id, outcome),
+            None => self.leave(host, now, id),
+        }
         self.pump(host, now, at);
         self.sleep(host, now);
     }
@@ -404,13 +404,10 @@
         self.sleep(host, now);
     }
 
-    pub fn probed(&mut self, host: &mut dyn Host, now: Tick, _node: NodeId, _outcome: &Outcome) {
-        self.sleep(host, now);
-    }
+    // Neither probes nor peers decide anything yet: their gain is not measured.
+    pub fn probed(&mut self, _host: &mut dyn Host, _now: Tick, _node: NodeId, _outcome: &Outcome) {}
 
-    pub fn heard(&mut self, host: &mut dyn Host, now: Tick, _from: u32, _bytes: &[u8]) {
-        self.sleep(host, now);
-    }
+    pub fn heard(&mut self, _host: &mut dyn Host, _now: Tick, _from: u32, _bytes: &[u8]) {}
 
     /// The time asked for with `wake` has come.
     pub fn woken(&mut self, host: &mut dyn Host, now: Tick) {
@@ -536,8 +533,8 @@
     fn run_scheduling(&mut self, at: NodeId) {
         let node = &mut self.nodes[at.0];
         let target = NARROW_ABOVE * self.short_goal;
-        // With nothing out the mean wait is hearsay that ages: else a node once slow would count as slow for ever,
-        // for nothing that must be in time would be sent to it.
+        // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
+        // must be in time.
         if node.out.is_empty() {
             node.lat *= FADE;
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
@@ -551,9 +548,8 @@
         node.shares.iter_mut().for_each(|s| s.held = 0.0);
         for id in &node.held {
             let bio = &self.slots[id.0].bio;
-            if let Some(s) = node.shares.iter_mut().find(|s| s.vol == bio.vol) {
-                s.held += bio.units;
-            }
+            let own = node.shares.iter().position(|s| s.vol == bio.vol).expect("placed");
+            node.shares[own].held += bio.units;
         }
         let figures = |s: &Share| {
             let vol = &self.volumes[s.vol.0];
@@ -590,11 +586,11 @@
     }
 
     /// The design's order: own allocation, the richer of two bursting volumes', the pool, else wait.
-    /// An allocation in the black may be overdrawn and pays back later, for a block I/O may cost many windows.
+    /// An allocation in the black may be overdrawn and pays back later: a block I/O may cost many windows.
     fn admit(&mut self, at: NodeId, vol: VolId, units: f64) -> bool {
         let node = &mut self.nodes[at.0];
         let cost = units * node.mult;
-        let own = node.shares.iter().position(|s| s.vol == vol).expect("placed");
+        let own = node.share(vol);
         let payer = if node.shares[own].alloc > 0.0 {
             Some(own)
         } else {
@@ -615,8 +611,8 @@
         } else if node.pool >= cost {
             node.pool -= cost;
         } else if node.out.is_empty() || node.lat < WIDEN_BELOW * self.short_goal {
-            // Where nothing of this host's is out, or the node answers quickly, waiting for the next window would
-            // only leave the node idle: the block I/O goes on credit.
+            // Nothing of this host's is out, or the node answers quickly: to wait for the next window would
+            // only leave it idle, so the block I/O goes on credit.
             node.shares[own].alloc -= cost;
         } else {
             return false;
@@ -630,20 +626,15 @@
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
-        let share = node.shares.iter().find(|s| s.vol == slot.bio.vol);
         let tier = if vol.reserve * 2.0 >= slot.bio.units {
             1.0
-        } else if share.is_some_and(|s| s.alloc > 0.0) {
+        } else if node.shares[node.share(slot.bio.vol)].alloc > 0.0 {
             self.share_gain
         } else {
             self.spare_gain
         };
         // An answer past the goal earns its part of the least that is still due.
-        let late = if now + (SPARE * node.lat) as Tick > slot.goal {
-            group.late * self.spare_gain / tier
-        } else {
-            1.0
-        };
+        let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
         tier * late * group.gain * plan.price
     }
 
@@ -651,8 +642,7 @@
     fn pump(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
         let mut passed: u64 = 0; // volumes that the design lets wait this time, by their place in `shares`
         loop {
-            let fall = self.cold.fall;
-            let room = self.cold_room(now, at, fall);
+            let room = self.cold_room(now, at);
             let further = self.may_send_again(now);
             let (node, goal, losing) = (&self.nodes[at.0], self.short_goal, now < self.losing);
             if !node.open
@@ -665,21 +655,16 @@
             let mut best: Option<(f64, Tick, usize)> = None;
             for (i, id) in node.held.iter().enumerate() {
                 let slot = &self.slots[id.0];
-                let place = node.shares.iter().position(|s| s.vol == slot.bio.vol).expect("placed");
-                if passed >> (place as u64 & 63) & 1 == 1 || slot.submits > 0 && !further {
-                    continue;
-                }
-                if !self.may_send(slot, now, at, room) {
+                let passed = passed >> (node.share(slot.bio.vol) & 63) & 1 == 1;
+                if passed || slot.submits > 0 && !further || !self.may_send(slot, now, at, room) {
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0)
-                    && now + (SPARE * node.lat) as Tick > slot.goal
-                {
+                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && node.late(now, slot.goal) {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
-                // Where the node is crowded, what earns little leaves it to the other hosts' better block I/Os.
+                // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
                 if node.wt < self.crowd * lacks || slot.bio.units + self.cold.part * lacks > room {
@@ -693,9 +678,7 @@
             let id = node.held[i];
             let bio = self.slots[id.0].bio;
             if !self.admit(at, bio.vol, bio.units) {
-                let node = &self.nodes[at.0];
-                let place = node.shares.iter().position(|s| s.vol == bio.vol).expect("placed");
-                passed |= 1 << (place as u64 & 63);
+                passed |= 1 << (self.nodes[at.0].share(bio.vol) & 63);
                 continue;
             }
             self.nodes[at.0].held.swap_remove(i);
@@ -703,9 +686,10 @@
         }
     }
 
-    /// Units that this host may still send to a node that has just started; the rest is the other hosts' part.
+    /// Units that this host may still send to a node that has just started; the rest is the others' part.
     /// Its part grows no faster than the slowest warm-up that the terms allow.
-    fn cold_room(&mut self, now: Tick, at: NodeId, fall: Tick) -> f64 {
+    fn cold_room(&mut self, now: Tick, at: NodeId) -> f64 {
+        let fall = self.cold.fall;
         let node = &mut self.nodes[at.0];
         let age = now - node.came_up;
         if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall / 2 {
@@ -777,8 +761,8 @@
         host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
     }
 
-    /// Calls off what a node has left unanswered far longer than it takes, and has since overtaken by an answer to
-    /// a later submit: the answer was lost or hangs, the node is well, and another submit may still be in time.
+    /// Calls off what a node has left far longer than it takes, and overtaken by an answer to a later submit:
+    /// the answer was lost or hangs, the node is well, and another submit may still be in time.
     /// Guards against lost answers and requests stuck at a node; hurts where a node serves far out of turn.
     fn call_off_lost(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
         let node = &self.nodes[at.0];
@@ -819,7 +803,7 @@
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
-            // A quick failure is no quick answer: it narrows the window like a slow one and leaves the mean alone.
+            // A quick failure is no quick answer: it narrows the window and leaves the mean alone.
             _ => {
                 node.wt = (node.wt * (1.0 - NARROW)).max(WT_LEAST);
                 node.failures += 1;
@@ -847,11 +831,6 @@
         self.place(host, now, id);
     }
 
-    /// The step of a block I/O that is over: nothing but its place is left to give back.
-    fn settle(&mut self, host: &mut dyn Host, now: Tick, id: BioId, _outcome: &Outcome) {
-        self.leave(host, now, id);
-    }
-
     /// Finds the node of a block I/O and puts it among those held there; without a node it gets its answer.
     fn place(&mut self, host: &mut dyn Host, now: Tick, id: BioId) -> Option<NodeId> {
         let slot = &self.slots[id.0];
@@ -917,7 +896,7 @@
     /// A block I/O that is over leaves the held ones; with its submit in, its key and its place as well.
     fn leave(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &mut self.slots[id.0];
-        (slot.over, slot.step) = (true, Self::settle);
+        (slot.over, slot.step) = (true, None);
         let (bio, node, next) = (slot.bio, slot.node, slot.next_of_key);
         if slot.out {
             if self.may_cancel {
