--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -315,3 +315,94 @@
     s.pass(1_000);
     assert_eq!(s.sent(), [0, 1]);
 }
+
+/// Answers every submit at once when it is sent, after `wait`.
+fn answer_all(story: &mut Story, ids: std::ops::Range<u32>, wait: Tick) {
+    for id in ids {
+        story.take(story.bio(id));
+        for _ in 0..40 {
+            let out = |s: &Story| s.sent().contains(&id) && s.count(Did::Released(id)) == 0;
+            story.pass(wait);
+            if out(story) {
+                story.end(id, 0, Ending::Done, wait);
+            }
+            if story.count(Did::Released(id)) > 0 {
+                break;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_lost_answer_makes_us_call_off_the_next_one_that_is_overtaken() {
+    let mut s = Story::new(&terms());
+    let volume = |id: u32, s: &Story| Bio { vol: VolId(id), ..s.bio(id) };
+    s.take(volume(0, &s));
+    s.take(volume(1, &s));
+    s.pass(100);
+    s.end(1, 0, Ending::Done, 50);
+    s.pass(LIMIT);
+    s.end(0, 0, Ending::TimedOut, LIMIT + 100);
+    s.take(volume(2, &s));
+    s.pass(GOAL / 2 + 50);
+    s.take(volume(3, &s));
+    s.pass(100);
+    s.end(3, 0, Ending::Done, 50);
+    assert_eq!(s.count(Did::Cancelled(2)), 1, "{:?}", s.log.did);
+    s.end(2, 0, Ending::Cancelled, GOAL / 2 + 150);
+    assert_eq!(s.sent().iter().filter(|id| **id == 2).count(), 2);
+}
+
+#[test]
+fn a_slow_node_alone_is_no_sign_of_lost_answers() {
+    let mut s = Story::new(&terms());
+    let volume = |id: u32, s: &Story| Bio { vol: VolId(id), ..s.bio(id) };
+    s.take(volume(0, &s));
+    s.pass(GOAL);
+    s.take(volume(1, &s));
+    s.pass(100);
+    s.end(1, 0, Ending::Done, 50);
+    assert_eq!(s.count(Did::Cancelled(0)), 0);
+}
+
+#[test_case(4.0, 1; "what earns most is sent")]
+#[test_case(0.2, 0; "what earns little leaves a crowded node to others")]
+fn a_crowded_node_is_for_what_earns_most(price: f64, sends: usize) {
+    let mut t = Terms { hosts: 9, ..terms() };
+    t.plans[0].price = 4.0;
+    t.plans[1] = Plan { price, ..t.plans[0].clone() };
+    let mut s = Story::new(&t);
+    answer_all(&mut s, 0..60, 900);
+    s.pass(1_500);
+    s.log.did.clear();
+    s.take(Bio { plan: 1, vol: VolId(1), ..s.bio(500) });
+    s.pass(1);
+    assert_eq!(s.sent().len(), sends);
+}
+
+#[test]
+fn a_node_that_leaves_a_submit_unanswered_gets_no_new_objects() {
+    let mut s = Story::new(&terms());
+    s.take(Bio { vol: VolId(9), ..s.bio(0) });
+    s.pass(1_500);
+    (1..9).for_each(|id| {
+        s.take(Bio { vol: VolId(id), shard: None, ..s.bio(id) });
+        s.pass(20);
+        s.end(id, 1, Ending::Done, 20);
+    });
+    let on_zero = s.log.did.iter().filter(|d| matches!(d.1, Did::Sent(1.., 0))).count();
+    assert!(on_zero < 4, "both drawn alike it may have one in four");
+}
+
+#[test]
+fn absurd_counts_of_others_leave_a_volume_its_even_part() {
+    let mut s = Story::new(&Terms { counts_others: true, ..terms() });
+    s.by_others = f64::MAX;
+    for id in 0..3 {
+        s.take(limited(&s, id));
+        s.pass(100);
+        s.end(id, 0, Ending::Done, 50);
+        s.pass(8_000);
+    }
+    assert_eq!(s.sent(), [0, 1, 2]);
+}
