--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -257,7 +257,7 @@
             budget: (terms.budget_free, terms.budget_share, terms.budget_span),
             order_rest: terms.order_rest,
             may_cancel: terms.may_cancel,
-            return_after: if terms.may_name_return { terms.longest_return } else { 0 },
+            return_after: if terms.may_name_return { terms.longest_return.min(WINDOW) } else { 0 },
             on_request: terms.list_on_request,
             counts_others: terms.counts_others,
             pcg,
