--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -173,8 +173,8 @@
         let span = (now - self.filled) as f64;
         self.filled = now;
         self.store = (self.store + span * plan.limit / self.hosts).min(plan.burst / self.hosts);
-        let most = (plan.reserve * SECOND + largest) / self.hosts;
-        self.reserve = (self.reserve + span * plan.reserve / self.hosts).min(most);
+        let most = plan.reserve * SECOND + largest;
+        self.reserve = (self.reserve + span * plan.reserve).min(most);
     }
 }
 
