--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -627,13 +627,11 @@
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
-        let tier = if vol.reserve * 2.0 >= slot.bio.units {
-            1.0
-        } else if node.shares[node.share(slot.bio.vol)].alloc > 0.0 {
-            self.share_gain
-        } else {
-            self.spare_gain
-        };
+        // The part of it inside the reserve counts in full, the rest as the share or, beyond that, as spare.
+        let own = node.shares[node.share(slot.bio.vol)].alloc > 0.0;
+        let beyond = if own { self.share_gain } else { self.spare_gain };
+        let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
+        let tier = inside + (1.0 - inside) * beyond;
         // An answer past the goal earns its part of the least that is still due.
         let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
         tier * late * group.gain * plan.price
