--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -628,10 +628,9 @@
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
         // The part of it inside the reserve counts in full, the rest as the share or, beyond that, as spare.
-        let units = slot.bio.units.max(self.mean_units / 8.0);
-        let own = (node.shares[node.share(slot.bio.vol)].alloc / units).clamp(0.0, 1.0);
-        let beyond = self.spare_gain + (self.share_gain - self.spare_gain) * own;
-        let inside = (vol.reserve / units).min(1.0);
+        let own = node.shares[node.share(slot.bio.vol)].alloc > 0.0;
+        let beyond = if own { self.share_gain } else { self.spare_gain };
+        let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
         let tier = inside + (1.0 - inside) * beyond;
         // An answer past the goal earns its part of the least that is still due.
         let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
