--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -833,32 +833,21 @@
     fn place(&mut self, host: &mut dyn Host, now: Tick, id: BioId) -> Option<NodeId> {
         let slot = &self.slots[id.0];
         let (bio, last) = (slot.bio, slot.node);
+        // Two at random, the one with the shorter line. A shard has one node, but for a release that brings the
+        // next one up, cold, while the last is still warm: then both serve.
         let nodes = &self.nodes;
-        let open = nodes.iter().filter(|(_, n)| n.open);
-        let found = if let Some(shard) = bio.shard {
-            open.filter(|(_, n)| n.shard == shard).max_by_key(|(_, n)| n.came_up).map(|(at, _)| at)
-        } else {
-            // Two at random, the one with the shorter line by this host's own counts; not the last one again.
-            let others = open.filter(|(at, _)| last != Some(NodeId(*at)));
-            let count = others.clone().count() as u64;
-            let (a, b) = (self.pcg.below(count) as usize, self.pcg.below(count) as usize);
-            // A node that leaves a submit unanswered is as slow as that submit is old.
-            let line = |n: &Node| {
-                let oldest = n.out.first().map_or(0, |o| now - o.0) as f64;
-                (n.out.len() + n.held.len() + 1) as f64
-                    * f64::from(n.failures + 1)
-                    * (n.lat.max(oldest) + 1.0)
-                    / n.wt
-            };
-            let pair = others.clone().nth(a).zip(others.clone().nth(b));
-            let better = pair.map(|(a, b)| if line(a.1) <= line(b.1) { a.0 } else { b.0 });
-            better.or(last.map(|l| l.0).filter(|l| nodes[*l].open))
-        };
-        let Some(at) = found else {
+        let fits = |n: &(u32, &Node)| n.1.open && bio.shard.is_none_or(|shard| n.1.shard == shard);
+        let count = nodes.iter().filter(fits).count();
+        if count == 0 {
             self.give_up(host, now, id);
             return None;
-        };
-        let at = NodeId(at);
+        }
+        let a = self.pcg.below(count as u64) as usize;
+        let b = (a + 1 + self.pcg.below(count as u64 - 1) as usize) % count;
+        let nth = |k| NodeId(nodes.iter().filter(fits).nth(k).expect("counted").0);
+        let (a, b) = (nth(a), nth(b));
+        let (line_a, line_b) = (self.line(now, a, bio.units, last), self.line(now, b, bio.units, last));
+        let at = if line_a <= line_b { a } else { b };
         let slot = &mut self.slots[id.0];
         slot.node = Some(at);
         // Held past its goal it is given up, after each submit anew.
@@ -874,6 +863,18 @@
         Some(at)
     }
 
+    /// How long a block I/O may wait at a node, by this host's own counts. A node that leaves a submit unanswered
+    /// is as slow as that submit is old; the last one tried and a cold one that is full come after any other.
+    fn line(&mut self, now: Tick, at: NodeId, units: f64, last: Option<NodeId>) -> f64 {
+        let room = self.cold_room(now, at);
+        let n = &self.nodes[at.0];
+        if last == Some(at) || room < units || now + (self.short_goal / 4.0) as Tick < n.first_ok {
+            return f64::MAX;
+        }
+        let oldest = n.out.first().map_or(0, |o| now - o.0) as f64;
+        (n.out.len() + n.held.len() + 1) as f64 * f64::from(n.failures + 1) * (n.lat.max(oldest) + 1.0) / n.wt
+    }
+
     /// The final answer of what will not be served, at once.
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &self.slots[id.0];
