--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -868,7 +868,7 @@
     fn line(&mut self, now: Tick, at: NodeId, units: f64, last: Option<NodeId>) -> f64 {
         let room = self.cold_room(now, at);
         let n = &self.nodes[at.0];
-        if last == Some(at) || room < units || now + (self.short_goal / 4.0) as Tick < n.first_ok {
+        if last == Some(at) || room < units || n.first_ok > now + (self.short_goal / 4.0) as Tick {
             return f64::MAX;
         }
         let oldest = n.out.first().map_or(0, |o| now - o.0) as f64;
