--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -368,3 +368,19 @@
     let on_one = s.log.did.iter().filter(|d| matches!(d.1, Did::Sent(_, 1))).count();
     assert!(on_one >= 10, "{on_one} of 16; all but those that draw the other node twice");
 }
+
+#[test]
+fn a_warm_node_serves_on_while_the_one_that_replaces_it_is_cold() {
+    let mut s = Story::new(&cold_terms());
+    let next = Listed { node: NodeId(2), ..node(0, NodeState::Active, s.log.now) };
+    s.list(ListForm::Changes, &[next]);
+    s.pass(3_100);
+    for id in 0..20 {
+        s.take(Bio { vol: VolId(id), ..s.bio(id) });
+        s.pass(100);
+        let at = if s.count(Did::Sent(id, 0)) > 0 { 0 } else { 2 };
+        s.end(id, at, Ending::Done, 100);
+    }
+    assert_eq!(s.sent().len(), 20, "none waits for the cold one's next part");
+    assert!(s.log.did.iter().any(|d| matches!(d.1, Did::Sent(_, 2))));
+}
