--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -756,10 +756,7 @@
         if node.came_up > 0 {
             node.sent.add(now, units);
         }
-        let repeats = self.groups[slot.bio.group as usize].effect == Effect::Idempotent;
-        let goal =
-            if repeats { (slot.goal - now).max(2 * (node.lat as Tick).max(HOPELESS)) } else { Tick::MAX };
-        host.submit(id, at, goal.min(slot.bio.hard_limit - now - LAST_CALL / 3));
+        host.submit(id, at, slot.bio.hard_limit - now - LAST_CALL / 3);
     }
 
     /// Calls off what a node has left far longer than it takes, and overtaken by an answer to a later submit:
