--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -658,7 +658,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && node.late(now, slot.goal) {
+                if (node.waiting(now, goal, losing) > 0 || node.wt < WT_START) && node.late(now, slot.goal) {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
