--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -623,7 +623,7 @@
     }
 
     /// What a unit of this block I/O would still earn if it were sent now.
-    fn density(&self, slot: &Slot, now: Tick, node: &Node) -> f64 {
+    fn density(&self, slot: &Slot, node: &Node) -> f64 {
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
@@ -632,9 +632,7 @@
         let beyond = if own { self.share_gain } else { self.spare_gain };
         let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
         let tier = inside + (1.0 - inside) * beyond;
-        // An answer past the goal earns its part of the least that is still due.
-        let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
-        tier * late * group.gain * plan.price
+        tier * group.gain * plan.price
     }
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
@@ -654,14 +652,11 @@
             for (i, id) in node.held.iter().enumerate() {
                 let slot = &self.slots[id.0];
                 let passed = passed >> (node.share(slot.bio.vol) & 63) & 1 == 1;
-                if passed || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
+                let late = node.late(now, slot.goal);
+                if passed || late || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
                     continue;
                 }
-                // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal, losing) > 0 || node.wt < WT_START) && node.late(now, slot.goal) {
-                    continue;
-                }
-                let gain = self.density(slot, now, node);
+                let gain = self.density(slot, node);
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
