--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -58,7 +58,6 @@
     effect: Effect,
     goal: Tick,
     patience: Tick,
-    late: f64,
     gain: f64,
     ordered: bool,
     submits: u32,
@@ -228,7 +227,6 @@
             effect: g.effect,
             goal: g.goal,
             patience: 0,
-            late: g.late_share,
             gain: g.gain,
             ordered: g.ordered,
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
@@ -777,7 +775,8 @@
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
-                node.lat += (wait - node.lat) * LAT_STEP;
+                // Past the goal all waits are alike: one stray answer must not shut the node for seconds.
+                node.lat += (wait.min(self.short_goal) - node.lat) * LAT_STEP;
                 let per_unit = wait / units.max(1.0);
                 let step = if per_unit > 2.0 * node.median { MULT_UP } else { MULT_DOWN };
                 node.mult = (node.mult * step).clamp(MULT_RANGE.0, MULT_RANGE.1);
