--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -534,8 +534,8 @@
         let target = NARROW_ABOVE * self.short_goal;
         // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
         // must be in time.
+        node.lat *= FADE;
         if node.out.is_empty() {
-            node.lat *= FADE;
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
