--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -58,6 +58,7 @@
     effect: Effect,
     goal: Tick,
     patience: Tick,
+    late: f64,
     gain: f64,
     ordered: bool,
     submits: u32,
@@ -227,6 +228,7 @@
             effect: g.effect,
             goal: g.goal,
             patience: 0,
+            late: g.late_share,
             gain: g.gain,
             ordered: g.ordered,
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
@@ -534,8 +536,8 @@
         let target = NARROW_ABOVE * self.short_goal;
         // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
         // must be in time.
-        node.lat *= FADE;
         if node.out.is_empty() {
+            node.lat *= FADE;
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
@@ -621,7 +623,7 @@
     }
 
     /// What a unit of this block I/O would still earn if it were sent now.
-    fn density(&self, slot: &Slot, node: &Node) -> f64 {
+    fn density(&self, slot: &Slot, now: Tick, node: &Node) -> f64 {
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
@@ -630,7 +632,9 @@
         let beyond = if own { self.share_gain } else { self.spare_gain };
         let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
         let tier = inside + (1.0 - inside) * beyond;
-        tier * group.gain * plan.price
+        // An answer past the goal earns its part of the least that is still due.
+        let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
+        tier * late * group.gain * plan.price
     }
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
@@ -650,11 +654,14 @@
             for (i, id) in node.held.iter().enumerate() {
                 let slot = &self.slots[id.0];
                 let passed = passed >> (node.share(slot.bio.vol) & 63) & 1 == 1;
-                let late = node.late(now, slot.goal);
-                if passed || late || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
+                if passed || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
                     continue;
                 }
-                let gain = self.density(slot, node);
+                // What will be late only fills a node that is otherwise idle.
+                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && node.late(now, slot.goal) {
+                    continue;
+                }
+                let gain = self.density(slot, now, node);
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
@@ -775,8 +782,7 @@
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
-                // Past the goal all waits are alike: one stray answer must not shut the node for seconds.
-                node.lat += (wait.min(self.short_goal) - node.lat) * LAT_STEP;
+                node.lat += (wait - node.lat) * LAT_STEP;
                 let per_unit = wait / units.max(1.0);
                 let step = if per_unit > 2.0 * node.median { MULT_UP } else { MULT_DOWN };
                 node.mult = (node.mult * step).clamp(MULT_RANGE.0, MULT_RANGE.1);
