--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -38,6 +38,7 @@
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
+const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's by the way here at most
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
@@ -57,7 +58,6 @@
 struct IoGroup {
     effect: Effect,
     goal: Tick,
-    patience: Tick,
     late: f64,
     gain: f64,
     ordered: bool,
@@ -205,6 +205,7 @@
     slots: Slab<Slot>,
     taken: Ledger,
     further: Ledger,
+    turned: Vec<(Tick, VolId, Tick)>,
     alarms: BinaryHeap<Reverse<(Tick, BioId)>>,
     next_window: Tick,
     ask_at: Tick,
@@ -227,7 +228,6 @@
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
             goal: g.goal,
-            patience: 0,
             late: g.late_share,
             gain: g.gain,
             ordered: g.ordered,
@@ -318,13 +318,13 @@
     /// A block I/O has come in.
     pub fn take(&mut self, host: &mut dyn Host, now: Tick, bio: Bio) {
         self.taken.add(now, 1.0);
-        let group = &mut self.groups[bio.group as usize];
+        let group = &self.groups[bio.group as usize];
         let plan = &self.plans[bio.plan as usize];
-        // A client's retry keeps the hard limit of its first try, and so its latency goal: a wait shorter
-        // than the longest seen in the I/O group tells how long ago that was.
-        let waits = bio.hard_limit - now;
-        let (ordered, goal) = (group.ordered, now + group.goal - (group.patience - waits).max(0));
-        group.patience = group.patience.max(waits);
+        // A client's retry keeps the hard limit of its first try, and so has its latency goal too. A short wait alone
+        // tells nothing: some clients give up sooner than others.
+        let first = |t: &&(Tick, VolId, Tick)| t.1 == bio.vol && (t.0 - bio.hard_limit).abs() <= SAME_LIMIT;
+        let goal = self.turned.iter().find(first).map_or(now + group.goal, |t| t.2);
+        let ordered = group.ordered;
         let hosts = f64::from(bio.hosts.max(1));
         // A store opens empty when this host starts: a host that came back may have spent its part before.
         let empty = || Volume { plan: bio.plan as usize, hosts, filled: self.born, ..Volume::default() };
@@ -453,6 +453,7 @@
 
     /// Forgets volumes and keys that are of no more use.
     fn tidy(&mut self, host: &mut dyn Host, now: Tick) {
+        self.turned.retain(|t| t.0 > now);
         let (plans, largest) = (&self.plans, self.largest);
         let done = |v: &mut Volume| {
             v.fill(now, &plans[v.plan], largest);
@@ -878,6 +879,7 @@
     /// The final answer of what will not be served, at once.
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &self.slots[id.0];
+        self.turned.push((slot.bio.hard_limit, slot.bio.vol, slot.goal));
         let harmless = slot.ran.is_none()
             || match self.groups[slot.bio.group as usize].effect {
                 Effect::Idempotent => true,
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -236,14 +236,17 @@
     assert!(s.sent().len() < 20, "{} submits in a second to a dead node", s.sent().len());
 }
 
-#[test]
-fn a_retry_has_the_goal_of_its_first_try() {
+#[test_case(0, true; "past its goal a retry does not wait another one")]
+#[test_case(-7_000, false; "a client that gives up sooner is no retry")]
+fn a_retry_has_the_goal_of_its_first_try(sooner: Tick, retry: bool) {
     let mut s = Story::new(&terms());
     (0..6).for_each(|id| s.take(s.bio(id)));
-    let hard_limit = s.log.now + LIMIT - GOAL;
-    s.take(Bio { hard_limit, ..s.bio(9) });
-    s.pass(GOAL / 2);
-    assert_eq!(s.count(Did::Shed(9)), 1, "past its goal it does not wait another one");
+    let hard_limit = s.log.now + LIMIT + sooner;
+    s.pass(GOAL + 10);
+    assert_eq!(s.count(Did::Shed(5)), 1);
+    s.take(Bio { hard_limit: hard_limit.max(s.log.now + 900), ..s.bio(9) });
+    s.pass(600);
+    assert_eq!(s.count(Did::Shed(9)), usize::from(retry));
 }
 
 #[test]
