--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -324,6 +324,7 @@
         // tells nothing: some clients give up sooner than others.
         let first = |t: &&(Tick, VolId, Tick)| t.1 == bio.vol && (t.0 - bio.hard_limit).abs() <= SAME_LIMIT;
         let goal = self.turned.iter().find(first).map_or(now + group.goal, |t| t.2);
+        let goal = goal.min(bio.hard_limit - LAST_CALL);
         let ordered = group.ordered;
         let hosts = f64::from(bio.hosts.max(1));
         // A store opens empty when this host starts: a host that came back may have spent its part before.
