--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -38,7 +38,7 @@
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
-const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's by the way here at most
+const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
@@ -320,8 +320,8 @@
         self.taken.add(now, 1.0);
         let group = &self.groups[bio.group as usize];
         let plan = &self.plans[bio.plan as usize];
-        // A client's retry keeps the hard limit of its first try, and so has its latency goal too. A short wait alone
-        // tells nothing: some clients give up sooner than others.
+        // A client's retry keeps the hard limit of its first try, and so has its latency goal too. A short
+        // wait alone tells nothing: some clients give up sooner than others.
         let first = |t: &&(Tick, VolId, Tick)| t.1 == bio.vol && (t.0 - bio.hard_limit).abs() <= SAME_LIMIT;
         let goal = self.turned.iter().find(first).map_or(now + group.goal, |t| t.2);
         let goal = goal.min(bio.hard_limit - LAST_CALL);
@@ -835,8 +835,8 @@
     fn place(&mut self, host: &mut dyn Host, now: Tick, id: BioId) -> Option<NodeId> {
         let slot = &self.slots[id.0];
         let (bio, last) = (slot.bio, slot.node);
-        // Two at random, the one with the shorter line. A shard has one node, but for a release that brings the
-        // next one up, cold, while the last is still warm: then both serve.
+        // Two at random, the one with the shorter line. A shard has one node, but for a release that brings
+        // the next one up, cold, while the last is still warm: then both serve.
         let nodes = &self.nodes;
         let fits = |n: &(u32, &Node)| n.1.open && bio.shard.is_none_or(|shard| n.1.shard == shard);
         let count = nodes.iter().filter(fits).count();
@@ -865,8 +865,9 @@
         Some(at)
     }
 
-    /// How long a block I/O may wait at a node, by this host's own counts. A node that leaves a submit unanswered
-    /// is as slow as that submit is old; the last one tried and a cold one that is full come after any other.
+    /// How long a block I/O may wait at a node, by this host's own counts. A node that leaves a submit
+    /// unanswered is as slow as that submit is old; the last one tried and a cold one that is full come
+    /// after any other.
     fn line(&mut self, now: Tick, at: NodeId, units: f64, last: Option<NodeId>) -> f64 {
         let room = self.cold_room(now, at);
         let n = &self.nodes[at.0];
