Ask the same window of low gain whatever the host count

Cause: the window asked of low gain grew with the root of the host count; at 180 hosts no node ever had it.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,7 +32,7 @@
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
-const CROWD: f64 = 0.5; // window asked of what earns nothing, times the root of the host count
+const CROWD: f64 = 1.0; // window asked of what earns nothing: a node with room for one has room for anyone
 const LOSING: Tick = 50_000; // ticks: how long one lost answer makes us look out for others
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
@@ -243,7 +243,7 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
-            crowd: CROWD * hosts.sqrt(),
+            crowd: CROWD,
             most_gain: (terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
                 * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max))
             .max(f64::MIN_POSITIVE),
