Price a crowded node by its mean wait, and let thin evidence go by time

Cause: with many hosts the window of one host says nothing of a crowd; its answers do, but too few of them.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -37,6 +37,8 @@
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
+const LAT_SPAN: f64 = 5_000.0; // ticks: an answer after as long a silence stands for itself
+const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -106,6 +108,7 @@
     sent: Ledger,
     out: Vec<(Tick, BioId)>,
     answered: Tick,
+    heard: Tick,
     failures: u32,
     wt: f64,
     mult: f64,
@@ -667,7 +670,11 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
-                if node.wt < self.crowd * lacks || slot.bio.units + self.cold.part * lacks > room {
+                let price = (node.lat / goal - NARROW_ABOVE) / PRICE_SPAN;
+                if node.wt < self.crowd * lacks
+                    || 1.0 - lacks < price.min(0.9)
+                    || slot.bio.units + self.cold.part * lacks > room
+                {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
@@ -784,7 +791,10 @@
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
-                node.lat += (wait - node.lat) * LAT_STEP;
+                // Many hosts leave each of them few answers: then the last one says more than the mean.
+                let step = ((now - node.heard) as f64 / LAT_SPAN).clamp(LAT_STEP, 1.0);
+                node.heard = now;
+                node.lat += (wait - node.lat) * step;
                 let per_unit = wait / units.max(1.0);
                 let step = if per_unit > 2.0 * node.median { MULT_UP } else { MULT_DOWN };
                 node.mult = (node.mult * step).clamp(MULT_RANGE.0, MULT_RANGE.1);
