The mean wait goes by the answers of the last second, however few

Cause: an answer weighed 0.15 whether it came after 20 ms or 8 s. Now its weight is what is left of the older ones.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -37,7 +37,7 @@
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
-const LAT_SPAN: f64 = 5_000.0; // ticks: an answer after as long a silence stands for itself
+const LAT_SPAN: f64 = 10_000.0; // ticks: the mean wait goes by the answers of about as long
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
@@ -108,7 +108,7 @@
     sent: Ledger,
     out: Vec<(Tick, BioId)>,
     answered: Tick,
-    heard: Tick,
+    heard: (Tick, f64),
     failures: u32,
     wt: f64,
     mult: f64,
@@ -670,7 +670,7 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
-                let price = (node.lat / goal - NARROW_ABOVE) / PRICE_SPAN;
+                let price = (node.lat / goal - 1.5 * NARROW_ABOVE) / PRICE_SPAN;
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
                     || slot.bio.units + self.cold.part * lacks > room
@@ -792,8 +792,9 @@
         match outcome.ending {
             Ending::Done => {
                 // Many hosts leave each of them few answers: then the last one says more than the mean.
-                let step = ((now - node.heard) as f64 / LAT_SPAN).clamp(LAT_STEP, 1.0);
-                node.heard = now;
+                node.heard.1 = node.heard.1 * (-(now - node.heard.0) as f64 / LAT_SPAN).exp() + 1.0;
+                node.heard.0 = now;
+                let step = (1.0 / node.heard.1).max(LAT_STEP);
                 node.lat += (wait - node.lat) * step;
                 let per_unit = wait / units.max(1.0);
                 let step = if per_unit > 2.0 * node.median { MULT_UP } else { MULT_DOWN };
