Take the lag out; the price of a crowded node falls as the window grows

Cause: in small fleets the window and the order among what is held already regulate, and the price came on top.

--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -99,10 +99,6 @@
     /// The part of the gain earned inside the volume's share, and beyond it.
     pub share_gain: f64,
     pub spare_gain: f64,
-    /// What the users count: all of the day, the worst-served plan, the worst-served I/O group.
-    pub whole: f64,
-    pub worst_plan: f64,
-    pub worst_group: f64,
     pub meter: Tick,
     pub counts_others: bool,
     pub may_cancel: bool,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,8 +39,6 @@
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const LAT_SPAN: f64 = 10_000.0; // ticks: the mean wait goes by the answers of about as long
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
-const SERVICE_KEPT: f64 = 0.99; // of what was due and met, a window: ten seconds' worth
-const LAG_STEP: f64 = 0.03; // weight of a window in who lags: three seconds' worth
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -57,15 +55,6 @@
     burst: f64,
     wt: f64,
     price: f64,
-    service: Service,
-}
-
-/// How well a plan or an I/O group is served by this host of late, and how much it lags behind all others.
-#[derive(Default)]
-struct Service {
-    due: f64,
-    met: f64,
-    lag: f64,
 }
 
 struct IoGroup {
@@ -75,7 +64,6 @@
     gain: f64,
     ordered: bool,
     submits: u32,
-    service: Service,
 }
 
 #[derive(Default)]
@@ -147,7 +135,6 @@
     out: bool,
     over: bool,
     drew: bool,
-    worth: f64,
     ran: Option<(Tick, NodeId)>,
     next_of_key: Option<BioId>,
     step: Option<Step>,
@@ -194,17 +181,6 @@
     }
 }
 
-/// Ages the services of a window, and moves the lag to the one that is served worst.
-fn rank(services: &mut dyn Iterator<Item = &mut Service>) {
-    let mut all: Vec<&mut Service> = services.collect();
-    let ratio = |s: &Service| (s.met + 1.0) / (s.due + 1.0);
-    let worst = (0..all.len()).min_by(|a, b| ratio(all[*a]).total_cmp(&ratio(all[*b])));
-    for (i, s) in all.iter_mut().enumerate() {
-        (s.due, s.met) = (s.due * SERVICE_KEPT, s.met * SERVICE_KEPT);
-        s.lag += (f64::from(worst == Some(i)) - s.lag) * LAG_STEP;
-    }
-}
-
 #[derive(Default)]
 pub struct Scheduler {
     plans: Vec<Plan>,
@@ -213,7 +189,6 @@
     largest: f64,
     share_gain: f64,
     spare_gain: f64,
-    lag_gain: (f64, f64),
     short_goal: f64,
     most_gain: f64,
     crowd: f64,
@@ -250,7 +225,6 @@
             burst: p.limit_burst,
             wt: if p.wt > 0.0 { p.wt } else { 1.0 },
             price: p.price,
-            service: Service::default(),
         };
         let hosts = f64::from(terms.hosts.max(1));
         let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
@@ -262,9 +236,7 @@
             ordered: g.ordered,
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
             submits: if g.gain < mean_gain { terms.max_submits.min(2) } else { terms.max_submits }.max(1),
-            service: Service::default(),
         };
-        let whole = terms.whole.max(0.1);
         let mut pcg = Pcg::new(seed);
         let ask_at = now + pcg.below(ASK_FIRST) as Tick;
         Scheduler {
@@ -274,10 +246,6 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
-            lag_gain: (
-                terms.worst_plan * terms.plans.len() as f64 / whole,
-                terms.worst_group * terms.groups.len() as f64 / whole,
-            ),
             crowd: CROWD,
             most_gain: (terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
                 * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max))
@@ -371,11 +339,7 @@
         vol.seen = now;
         vol.in_hand += 1;
         let step: Option<Step> = Some(Self::answer_or_resend);
-        let inside = (vol.reserve / bio.units.max(self.mean_units / 8.0)).min(1.0);
-        let worth = bio.units * (inside + (1.0 - inside) * self.spare_gain);
-        self.plans[bio.plan as usize].service.due += worth;
-        self.groups[bio.group as usize].service.due += worth;
-        self.slots.enter(bio.id.0, || Slot { bio, goal, due: Tick::MAX, worth, step, ..Slot::default() });
+        self.slots.enter(bio.id.0, || Slot { bio, goal, due: Tick::MAX, step, ..Slot::default() });
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
@@ -399,10 +363,6 @@
         let at = outcome.node;
         self.learn(now, at, id, units, outcome);
         let slot = &mut self.slots[id.0];
-        if outcome.ending == Ending::Done && !slot.over && now <= slot.goal {
-            self.plans[slot.bio.plan as usize].service.met += slot.worth;
-            self.groups[slot.bio.group as usize].service.met += slot.worth;
-        }
         let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
         if !never_ran {
             slot.ran = slot.ran.or(Some((sent, at)));
@@ -498,8 +458,6 @@
     /// Forgets volumes and keys that are of no more use.
     fn tidy(&mut self, host: &mut dyn Host, now: Tick) {
         self.turned.retain(|t| t.0 > now);
-        rank(&mut self.plans.iter_mut().map(|p| &mut p.service));
-        rank(&mut self.groups.iter_mut().map(|g| &mut g.service));
         let (plans, largest) = (&self.plans, self.largest);
         let done = |v: &mut Volume| {
             v.fill(now, &plans[v.plan], largest);
@@ -681,9 +639,7 @@
         let tier = inside + (1.0 - inside) * beyond;
         // An answer past the goal earns its part of the least that is still due.
         let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
-        // Where the users also count the worst-served plan or group, its block I/Os count for more.
-        let lag = (1.0 + self.lag_gain.0 * plan.service.lag) * (1.0 + self.lag_gain.1 * group.service.lag);
-        tier * late * group.gain * plan.price * lag
+        tier * late * group.gain * plan.price
     }
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
@@ -714,7 +670,7 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
-                let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN;
+                let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN / node.wt.max(1.0);
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
                     || slot.bio.units + self.cold.part * lacks > room
