--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -670,7 +670,7 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
-                let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN / node.wt.max(1.0);
+                let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN / node.wt.max(1.0).powi(2);
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
                     || slot.bio.units + self.cold.part * lacks > room
