A cold node's part goes by what a host sent there, rounded by chance below one block I/O

Holds against any return; might hurt where leads move during the outage, since the new lead has no history there.

--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -114,6 +114,7 @@
     pub cold_from: f64,
     pub cold_span: Tick,
     pub fall_span: Tick,
+    pub fall_multiple: f64,
     pub order_rest: Tick,
     /// Further submits: a few, and a share of the block I/Os taken in the span (0: no budget).
     pub budget_free: f64,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,6 +39,8 @@
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const LAT_SPAN: f64 = 10_000.0; // ticks: the mean wait goes by the answers of about as long
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
+const COLD_SAFE: f64 = 0.3; // of what makes a cold node fall: the rest is for surges, leads that move and chance
+const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -69,6 +71,7 @@
 #[derive(Default)]
 struct Cold {
     part: f64,
+    of_rate: f64,
     from: f64,
     span: Tick,
     fall: Tick,
@@ -106,6 +109,10 @@
     came_up: Tick,
     first_ok: Tick,
     sent: Ledger,
+    units: f64,
+    rate: f64,
+    cold_turn: Tick,
+    cold_luck: bool,
     out: Vec<(Tick, BioId)>,
     answered: Tick,
     heard: (Tick, f64),
@@ -253,6 +260,7 @@
             short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
             cold: Cold {
                 part: terms.cold_bears / hosts,
+                of_rate: COLD_SAFE * terms.fall_multiple * terms.cold_from * terms.fall_span as f64,
                 from: terms.cold_from.clamp(0.01, 1.0),
                 span: terms.cold_span,
                 fall: terms.fall_span,
@@ -448,7 +456,7 @@
         for at in self.nodes.places() {
             if self.nodes.get(at).is_some() {
                 if turn {
-                    self.run_scheduling(NodeId(at));
+                    self.run_scheduling(now, NodeId(at));
                 }
                 self.pump(host, now, NodeId(at));
             }
@@ -536,7 +544,7 @@
     }
 
     /// Both passes of the design's Algorithm 1 for one node.
-    fn run_scheduling(&mut self, at: NodeId) {
+    fn run_scheduling(&mut self, now: Tick, at: NodeId) {
         let node = &mut self.nodes[at.0];
         let target = NARROW_ABOVE * self.short_goal;
         // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
@@ -551,6 +559,11 @@
         } else if !node.held.is_empty() {
             node.extra = (node.extra * (1.0 + BUDGET_STEP)).min(WT_MAX * self.mean_units);
         }
+        // What goes to the node while it is well, for the day when it comes back cold.
+        let rate = std::mem::take(&mut node.units) / WINDOW as f64;
+        if node.lat < target && node.failures == 0 && now > node.came_up + self.cold.span {
+            node.rate += (rate - node.rate) * RATE_STEP;
+        }
         node.shares.iter_mut().for_each(|s| s.held = 0.0);
         for id in &node.held {
             let bio = &self.slots[id.0].bio;
@@ -646,7 +659,7 @@
     fn pump(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
         let mut passed: u64 = 0; // volumes that the design lets wait this time, by their place in `shares`
         loop {
-            let room = self.cold_room(now, at);
+            let (room, part) = self.cold_room(now, at);
             let further = self.may_send_again(now);
             let (node, goal, losing) = (&self.nodes[at.0], self.short_goal, now < self.losing);
             if now < node.first_ok
@@ -673,7 +686,7 @@
                 let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN / node.wt.max(1.0).powi(2);
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
-                    || slot.bio.units + self.cold.part * lacks > room
+                    || slot.bio.units + part * lacks > room
                 {
                     continue;
                 }
@@ -693,18 +706,27 @@
         }
     }
 
-    /// Units that this host may still send to a node that has just started; the rest is the others' part.
-    /// Its part grows no faster than the slowest warm-up that the terms allow.
-    fn cold_room(&mut self, now: Tick, at: NodeId) -> f64 {
-        let fall = self.cold.fall;
-        let node = &mut self.nodes[at.0];
+    /// Units that this host may still send to a node that has just started, and its whole part; the rest is the
+    /// others'. The part is an even one or goes by what this host sent here when all was well, since all hosts
+    /// together sent no more than the node could do. It grows no faster than the slowest warm-up that the terms
+    /// allow. Smaller than the largest block I/O, it is rounded by chance: with many hosts it would never go out.
+    fn cold_room(&mut self, now: Tick, at: NodeId) -> (f64, f64) {
+        let (fall, node) = (self.cold.fall, &mut self.nodes[at.0]);
         let age = now - node.came_up;
         if node.came_up == 0 || fall == 0 || age >= self.cold.span + fall / 2 {
-            return f64::INFINITY;
+            return (f64::INFINITY, 0.0);
         }
         let warm = (age - fall / 2).max(0) as f64 / self.cold.span.max(1) as f64;
         let grown = (self.cold.from + (1.0 - self.cold.from) * warm.min(1.0)) / self.cold.from;
-        self.cold.part * grown - node.sent.since(now - fall - 1)
+        let mut part = self.cold.part.max(node.rate * self.cold.of_rate) * grown;
+        if part < self.largest {
+            if now >= node.cold_turn {
+                node.cold_turn = now + fall;
+                node.cold_luck = (self.pcg.below(1 << 20) as f64) < part / self.largest * f64::from(1 << 20);
+            }
+            part = if node.cold_luck { self.largest } else { part };
+        }
+        (part - node.sent.since(now - fall - 1), part)
     }
 
     /// Whether the budget of further submits has one left, counted at the moment of sending: block I/Os may
@@ -761,6 +783,7 @@
         }
         let node = &mut self.nodes[at.0];
         node.out.push((now, id));
+        node.units += units;
         self.alarms.push(Reverse((now + node.patience(self.short_goal) + 1, id)));
         if node.came_up > 0 {
             node.sent.add(now, units);
@@ -880,7 +903,7 @@
     /// unanswered is as slow as that submit is old; the last one tried and a cold one that is full come
     /// after any other.
     fn line(&mut self, now: Tick, at: NodeId, units: f64, last: Option<NodeId>) -> f64 {
-        let room = self.cold_room(now, at);
+        let room = self.cold_room(now, at).0;
         let n = &self.nodes[at.0];
         if last == Some(at) || room < units || n.first_ok > now + (self.short_goal / 4.0) as Tick {
             return f64::MAX;
--- a/crates/wirehost/src/terms.rs
+++ b/crates/wirehost/src/terms.rs
@@ -92,6 +92,7 @@
         cold_from: num(rules, "cold_from"),
         cold_span: up(rules, "cold_us"),
         fall_span: up(rules, "fall_us"),
+        fall_multiple: num(rules, "fall_multiple"),
         order_rest: up(rules, "order_pause_us"),
         budget_free: num(rules, "free_resends"),
         budget_share: num(rules, "extra_ratio"),
