The chance of a cold node's part goes by the block I/O at hand

Cause: rounded to the largest block I/O, most of a lucky part went unused. Half of what makes a node fall is dealt out.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,7 +39,8 @@
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const LAT_SPAN: f64 = 10_000.0; // ticks: the mean wait goes by the answers of about as long
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
-const COLD_SAFE: f64 = 0.3; // of what makes a cold node fall: the rest is for surges, leads that move and chance
+const COLD_SAFE: f64 = 0.5; // of what makes a cold node fall: the rest is for surges, leads that move and chance
+const CHANCES: u64 = 1 << 20; // steps of a draw between 0 and 1
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
@@ -112,7 +113,7 @@
     units: f64,
     rate: f64,
     cold_turn: Tick,
-    cold_luck: bool,
+    cold_luck: f64,
     out: Vec<(Tick, BioId)>,
     answered: Tick,
     heard: (Tick, f64),
@@ -709,7 +710,7 @@
     /// Units that this host may still send to a node that has just started, and its whole part; the rest is the
     /// others'. The part is an even one or goes by what this host sent here when all was well, since all hosts
     /// together sent no more than the node could do. It grows no faster than the slowest warm-up that the terms
-    /// allow. Smaller than the largest block I/O, it is rounded by chance: with many hosts it would never go out.
+    /// allow. Smaller than the largest block I/O, it goes out whole by a chance of its part, drawn for each fall span.
     fn cold_room(&mut self, now: Tick, at: NodeId) -> (f64, f64) {
         let (fall, node) = (self.cold.fall, &mut self.nodes[at.0]);
         let age = now - node.came_up;
@@ -719,14 +720,14 @@
         let warm = (age - fall / 2).max(0) as f64 / self.cold.span.max(1) as f64;
         let grown = (self.cold.from + (1.0 - self.cold.from) * warm.min(1.0)) / self.cold.from;
         let mut part = self.cold.part.max(node.rate * self.cold.of_rate) * grown;
-        if part < self.largest {
+        let sent = node.sent.since(now - fall - 1);
+        if part < self.largest && sent == 0.0 {
             if now >= node.cold_turn {
-                node.cold_turn = now + fall;
-                node.cold_luck = (self.pcg.below(1 << 20) as f64) < part / self.largest * f64::from(1 << 20);
+                (node.cold_turn, node.cold_luck) = (now + fall, (self.pcg.below(CHANCES) + 1) as f64);
             }
-            part = if node.cold_luck { self.largest } else { part };
+            part = (part * CHANCES as f64 / node.cold_luck).min(self.largest);
         }
-        (part - node.sent.since(now - fall - 1), part)
+        (part - sent, part)
     }
 
     /// Whether the budget of further submits has one left, counted at the moment of sending: block I/Os may
