Price above the best mean wait, less where answers are many; a node unseen fades to the mean of all

Cause: a host that sees a node once in seconds forgot its wait in one and came back with all the others.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -42,6 +42,9 @@
 const COLD_SAFE: f64 = 0.5; // of what makes a cold node fall: the rest is for surges, leads that move and chance
 const CHANCES: u64 = 1 << 20; // steps of a draw between 0 and 1
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
+const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
+const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
+const PRICE_FROM: f64 = 0.08; // of the shortest goal: what a node's mean wait may lie above the best
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -223,6 +226,8 @@
     ask_wait: Tick,
     waking: Tick,
     losing: Tick,
+    lat: f64,
+    best: f64,
 }
 
 impl Scheduler {
@@ -245,6 +250,7 @@
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
             submits: if g.gain < mean_gain { terms.max_submits.min(2) } else { terms.max_submits }.max(1),
         };
+        let short_goal = terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64;
         let mut pcg = Pcg::new(seed);
         let ask_at = now + pcg.below(ASK_FIRST) as Tick;
         Scheduler {
@@ -258,7 +264,7 @@
             most_gain: (terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
                 * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max))
             .max(f64::MIN_POSITIVE),
-            short_goal: terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64,
+            short_goal,
             cold: Cold {
                 part: terms.cold_bears / hosts,
                 of_rate: COLD_SAFE * terms.fall_multiple * terms.cold_from * terms.fall_span as f64,
@@ -279,6 +285,8 @@
             ask_wait: ASK_FIRST as Tick,
             waking: Tick::MAX,
             losing: now,
+            lat: WIDEN_BELOW * short_goal,
+            best: WIDEN_BELOW * short_goal,
             ..Scheduler::default()
         }
     }
@@ -551,7 +559,7 @@
         // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
         // must be in time.
         if node.out.is_empty() {
-            node.lat *= FADE;
+            node.lat = node.lat * FADE + self.lat * (1.0 - FADE);
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
@@ -684,7 +692,10 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = 1.0 - gain / self.most_gain;
-                let price = (node.lat / goal - WIDEN_BELOW) / PRICE_SPAN / node.wt.max(1.0).powi(2);
+                let price = ((node.lat - self.best) / goal - PRICE_FROM)
+                    / PRICE_SPAN
+                    / node.wt.max(1.0).powi(2)
+                    / node.heard.1.max(1.0).sqrt();
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
                     || slot.bio.units + part * lacks > room
@@ -815,6 +826,8 @@
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
+                self.lat += (wait - self.lat) * LAT_ALL;
+                self.best = (self.best * BEST_RISES).min(self.lat);
                 // Many hosts leave each of them few answers: then the last one says more than the mean.
                 node.heard.1 = node.heard.1 * (-(now - node.heard.0) as f64 / LAT_SPAN).exp() + 1.0;
                 node.heard.0 = now;
