--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -695,7 +695,7 @@
                 let price = ((node.lat - self.best) / goal - PRICE_FROM)
                     / PRICE_SPAN
                     / node.wt.max(1.0).powi(2)
-                    / node.heard.1.max(1.0).sqrt();
+                    / node.heard.1.max(1.0);
                 if node.wt < self.crowd * lacks
                     || 1.0 - lacks < price.min(0.9)
                     || slot.bio.units + part * lacks > room
