Measure gain against the mean in full where nodes are crowded or cold

Cause: against the most gain, whole plans were shut out of a node at a wait that others could have borne.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -201,7 +201,7 @@
     share_gain: f64,
     spare_gain: f64,
     short_goal: f64,
-    most_gain: f64,
+    usual_gain: f64,
     crowd: f64,
     cold: Cold,
     budget: (f64, f64, Tick),
@@ -240,6 +240,7 @@
             price: p.price,
         };
         let hosts = f64::from(terms.hosts.max(1));
+        let mean_price = terms.plans.iter().map(|p| p.price).sum::<f64>() / terms.plans.len().max(1) as f64;
         let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
@@ -261,9 +262,7 @@
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
             crowd: CROWD,
-            most_gain: (terms.groups.iter().map(|g| g.gain).fold(0.0, f64::max)
-                * terms.plans.iter().map(|p| p.price).fold(0.0, f64::max))
-            .max(f64::MIN_POSITIVE),
+            usual_gain: (mean_gain * mean_price).max(f64::MIN_POSITIVE),
             short_goal,
             cold: Cold {
                 part: terms.cold_bears / hosts,
@@ -691,7 +690,7 @@
                 let gain = self.density(slot, now, node);
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
-                let lacks = 1.0 - gain / self.most_gain;
+                let lacks = (1.0 - gain / self.usual_gain).max(0.0);
                 let price = ((node.lat - self.best) / goal - PRICE_FROM)
                     / PRICE_SPAN
                     / node.wt.max(1.0).powi(2)
