--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -306,7 +306,11 @@
         }
         for e in entries {
             let spread = self.pcg.below(RETURN_SPREAD) as Tick;
+            // A node that replaces another holds its shard, and what this host sends there goes on.
+            let kin = self.nodes.iter().filter(|(_, n)| n.shard == e.shard);
+            let rate = kin.map(|(_, n)| n.rate).fold(0.0, f64::max);
             let node = self.nodes.enter(e.node.0, Node::default);
+            node.rate = node.rate.max(rate);
             let fresh = node.wt == 0.0;
             (node.shard, node.zone, node.open) = (e.shard, e.zone, e.state == NodeState::Active);
             if fresh || e.came_up > node.came_up {
