A host with history sends one block I/O a fall span to a cold node by the chance of its flow

Cause: a host with a block I/O every ten seconds had a chance only in the window of two seconds in which it came. Might hurt where all volumes surge just as a node comes back.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -739,7 +739,9 @@
             if now >= node.cold_turn {
                 (node.cold_turn, node.cold_luck) = (now + fall, (self.pcg.below(CHANCES) + 1) as f64);
             }
-            part = (part * CHANCES as f64 / node.cold_luck).min(self.largest);
+            let luck = node.cold_luck / CHANCES as f64;
+            let known = node.rate > 0.0 && luck < self.cold.of_rate * grown / fall as f64;
+            part = if known { self.largest } else { (part / luck).min(self.largest) };
         }
         (part - sent, part)
     }
