--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,7 +39,7 @@
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const LAT_SPAN: f64 = 10_000.0; // ticks: the mean wait goes by the answers of about as long
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
-const COLD_SAFE: f64 = 0.5; // of what makes a cold node fall: the rest is for surges, leads that move and chance
+const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall: the rest is for surges, leads that move and chance
 const CHANCES: u64 = 1 << 20; // steps of a draw between 0 and 1
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
@@ -574,7 +574,8 @@
         // What goes to the node while it is well, for the day when it comes back cold.
         let rate = std::mem::take(&mut node.units) / WINDOW as f64;
         if node.lat < target && node.failures == 0 && now > node.came_up + self.cold.span {
-            node.rate += (rate - node.rate) * RATE_STEP;
+            let young = WINDOW as f64 / (now - self.born).max(WINDOW) as f64;
+            node.rate += (rate - node.rate) * young.max(RATE_STEP);
         }
         node.shares.iter_mut().for_each(|s| s.held = 0.0);
         for id in &node.held {
