Time-outs and full queues raise a node's mean wait

Cause: nodes jammed with submits that time out gave no answers, and looked as quick as before the jam.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -45,6 +45,7 @@
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
 const PRICE_FROM: f64 = 0.08; // of the shortest goal: what a node's mean wait may lie above the best
+const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -857,8 +858,15 @@
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
-            // A quick failure is no quick answer: it narrows the window and leaves the mean alone.
+            // A quick failure is no quick answer: it narrows the window, and a full queue or no answer in time
+            // says that the wait is long. Without these a node that is jammed would look as quick as it was.
             _ => {
+                let least = match outcome.ending {
+                    Ending::Busy => self.short_goal,
+                    Ending::TimedOut => wait.min(self.short_goal),
+                    _ => 0.0,
+                };
+                node.lat += (least - node.lat).max(0.0) * UNANSWERED;
                 node.wt = (node.wt * (1.0 - NARROW)).max(WT_LEAST);
                 node.failures += 1;
             }
