Send nothing that will be late; hosts that share a failing node try it more seldom the more they are

Cause: with many hosts a host has nothing out nearly always, and took that for an idle node; in a jam each of 47 hosts still tried every 0.64 s. The mean over all nodes takes time-outs in and stays under the goal, so that new ones go out.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,7 +30,7 @@
 const NARROW: f64 = 0.1; // part of the window that a round of slow answers, or a failure, takes away
 const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
-const TRY_DOUBLE: u32 = 6; // doublings: a dead node is tried every 0.64 s, a quarter of the shortest outage
+const TRY_MOST: f64 = 3_000.0; // ticks: longest such pause, times the root of the hosts, who all try
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
 const CROWD: f64 = 1.0; // window asked of what earns nothing: a node with room for one has room for anyone
 const LOSING: Tick = 50_000; // ticks: how long one lost answer makes us look out for others
@@ -46,6 +46,7 @@
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
 const PRICE_FROM: f64 = 0.08; // of the shortest goal: what a node's mean wait may lie above the best
 const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
+const NEVER_LATE: f64 = 0.9; // of the shortest goal, to which a mean wait over all nodes goes: what is new has a chance
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -204,6 +205,7 @@
     short_goal: f64,
     usual_gain: f64,
     crowd: f64,
+    try_most: Tick,
     cold: Cold,
     budget: (f64, f64, Tick),
     order_rest: Tick,
@@ -263,6 +265,7 @@
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
             crowd: CROWD,
+            try_most: (TRY_MOST * hosts.sqrt()) as Tick,
             usual_gain: (mean_gain * mean_price).max(f64::MIN_POSITIVE),
             short_goal,
             cold: Cold {
@@ -690,7 +693,7 @@
                     continue;
                 }
                 // What will be late only fills a node that is otherwise idle.
-                if (node.waiting(now, goal, losing) > 0 || node.wt < 1.0) && node.late(now, slot.goal) {
+                if node.late(now, slot.goal) {
                     continue;
                 }
                 let gain = self.density(slot, now, node);
@@ -833,7 +836,7 @@
         let wait = outcome.wait as f64;
         match outcome.ending {
             Ending::Done => {
-                self.lat += (wait - self.lat) * LAT_ALL;
+                self.lat += (wait.min(NEVER_LATE * self.short_goal) - self.lat) * LAT_ALL;
                 self.best = (self.best * BEST_RISES).min(self.lat);
                 // Many hosts leave each of them few answers: then the last one says more than the mean.
                 node.heard.1 = node.heard.1 * (-(now - node.heard.0) as f64 / LAT_SPAN).exp() + 1.0;
@@ -867,6 +870,7 @@
                     _ => 0.0,
                 };
                 node.lat += (least - node.lat).max(0.0) * UNANSWERED;
+                self.lat += (least * NEVER_LATE - self.lat).max(0.0) * LAT_ALL;
                 node.wt = (node.wt * (1.0 - NARROW)).max(WT_LEAST);
                 node.failures += 1;
             }
@@ -874,7 +878,8 @@
         // A window below one is kept by a pause after each answer, so that the node works for the other hosts
         // meanwhile; a node that fails again and again is tried ever more seldom, until it answers.
         let rest = if node.wt < 1.0 { node.lat.min(self.short_goal) * (1.0 / node.wt - 1.0) } else { 0.0 };
-        let doubt = if node.failures > 1 { TRY_AGAIN << (node.failures - 2).min(TRY_DOUBLE) } else { 0 };
+        let doubt =
+            if node.failures > 1 { (TRY_AGAIN << (node.failures - 2).min(16)).min(self.try_most) } else { 0 };
         node.first_ok = node.first_ok.max(now + doubt.max(rest as Tick));
     }
 
