--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -32,7 +32,6 @@
 const TRY_AGAIN: Tick = 100; // ticks: pause after a second failure in a row, doubled by each further one
 const TRY_MOST: f64 = 3_000.0; // ticks: longest such pause, times the root of the hosts, who all try
 const FADE: f64 = 0.95; // what a window without submits leaves of the mean wait: half after 1.4 s
-const CROWD: f64 = 1.0; // window asked of what earns nothing: a node with room for one has room for anyone
 const LOSING: Tick = 50_000; // ticks: how long one lost answer makes us look out for others
 const LOST: f64 = 4.0; // mean waits after which a submit out counts as lost: few honest ones take that long
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
@@ -204,7 +203,6 @@
     spare_gain: f64,
     short_goal: f64,
     usual_gain: f64,
-    crowd: f64,
     try_most: Tick,
     cold: Cold,
     budget: (f64, f64, Tick),
@@ -264,7 +262,6 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
-            crowd: CROWD,
             try_most: (TRY_MOST * hosts.sqrt()) as Tick,
             usual_gain: (mean_gain * mean_price).max(f64::MIN_POSITIVE),
             short_goal,
@@ -702,12 +699,9 @@
                 let lacks = (1.0 - gain / self.usual_gain).max(0.0);
                 let price = ((node.lat - self.best) / goal - PRICE_FROM)
                     / PRICE_SPAN
-                    / node.wt.max(1.0).powi(2)
+                    / node.wt.powi(2)
                     / node.heard.1.max(1.0);
-                if node.wt < self.crowd * lacks
-                    || 1.0 - lacks < price.min(0.9)
-                    || slot.bio.units + part * lacks > room
-                {
+                if 1.0 - lacks < price.min(0.9) || slot.bio.units + part * lacks > room {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
