Start windows and fade mean waits by the number of hosts

Cause: one host of four makes half of a node's wait itself, and may start with two submits; one of 180 neither.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,7 +23,7 @@
 const MULT_RANGE: (f64, f64) = (0.25, 4.0); // bounds of the delay multiplier (design)
 const RECENT: usize = 32; // answers in a node's median: about a second's worth
 const WT_MAX: f64 = 32.0; // submits out at one node, at most (design)
-const WT_START: f64 = 1.0; // submits out at a node not yet known
+const WT_START: f64 = 4.0; // submits out at a node not yet known, over all hosts and beyond one each
 const WIDEN_BELOW: f64 = 0.20; // of the shortest latency goal: a wait below it leaves room at the node
 const NARROW_ABOVE: f64 = 0.28; // of the same: the rest of the goal is for what waits here
 const WIDEN: f64 = 0.05; // submits that a full window gains by a round of quick answers
@@ -203,6 +203,8 @@
     spare_gain: f64,
     short_goal: f64,
     usual_gain: f64,
+    others: f64,
+    wt_start: f64,
     try_most: Tick,
     cold: Cold,
     budget: (f64, f64, Tick),
@@ -262,6 +264,8 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
+            others: 1.0 - 1.0 / hosts.sqrt(),
+            wt_start: 1.0 + WT_START / hosts,
             try_most: (TRY_MOST * hosts.sqrt()) as Tick,
             usual_gain: (mean_gain * mean_price).max(f64::MIN_POSITIVE),
             short_goal,
@@ -316,7 +320,7 @@
             (node.shard, node.zone, node.open) = (e.shard, e.zone, e.state == NodeState::Active);
             if fresh || e.came_up > node.came_up {
                 node.came_up = e.came_up;
-                (node.wt, node.mult) = (WT_START, 1.0);
+                (node.wt, node.mult) = (self.wt_start, 1.0);
                 node.extra = node.extra.max(BUDGET_START * self.mean_units);
                 if !fresh || form != ListForm::Kept {
                     node.first_ok = now + spread;
@@ -563,7 +567,8 @@
         // With nothing out the mean wait is hearsay that ages: else a node once slow would stay shut to what
         // must be in time.
         if node.out.is_empty() {
-            node.lat = node.lat * FADE + self.lat * (1.0 - FADE);
+            let others = self.best + (self.lat - self.best) * self.others;
+            node.lat = node.lat * FADE + others * (1.0 - FADE);
             node.wt = node.wt.max((node.wt * (2.0 - FADE)).min(1.0));
         }
         // The budget grows while the node answers in time and the budget is what holds block I/Os back.
