--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -24,8 +24,8 @@
 const RECENT: usize = 32; // answers in a node's median: about a second's worth
 const WT_MAX: f64 = 32.0; // submits out at one node, at most (design)
 const WT_START: f64 = 4.0; // submits out at a node not yet known, over all hosts and beyond one each
-const WIDEN_BELOW: f64 = 0.20; // of the shortest latency goal: a wait below it leaves room at the node
-const NARROW_ABOVE: f64 = 0.28; // of the same: the rest of the goal is for what waits here
+const WIDEN_BELOW: f64 = 0.24; // of the shortest latency goal: a wait below it leaves room at the node
+const NARROW_ABOVE: f64 = 0.32; // of the same: the rest of the goal is for what waits here
 const WIDEN: f64 = 0.05; // submits that a full window gains by a round of quick answers
 const NARROW: f64 = 0.1; // part of the window that a round of slow answers, or a failure, takes away
 const WT_LEAST: f64 = 0.1; // at a node crowded by many hosts, one submit in ten of its waits
@@ -702,10 +702,8 @@
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = (1.0 - gain / self.usual_gain).max(0.0);
-                let price = ((node.lat - self.best) / goal - PRICE_FROM)
-                    / PRICE_SPAN
-                    / node.wt.powi(2)
-                    / node.heard.1.max(1.0);
+                let above = (node.lat - self.best) / goal - PRICE_FROM;
+                let price = above * self.others / (PRICE_SPAN * node.wt.powi(2) * node.heard.1.max(1.0));
                 if 1.0 - lacks < price.min(0.9) || slot.bio.units + part * lacks > room {
                     continue;
                 }
