A time-out tells up to three mean waits of all nodes

Cause: capped at the goal, a time-out of a second faded in a window or two, and jammed nodes went on getting new ones.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -46,6 +46,7 @@
 const PRICE_FROM: f64 = 0.08; // of the shortest goal: what a node's mean wait may lie above the best
 const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
 const NEVER_LATE: f64 = 0.9; // of the shortest goal, to which a mean wait over all nodes goes: what is new has a chance
+const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: where answers are quick, one lost shuts no node
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
@@ -863,7 +864,7 @@
             _ => {
                 let least = match outcome.ending {
                     Ending::Busy => self.short_goal,
-                    Ending::TimedOut => wait.min(self.short_goal),
+                    Ending::TimedOut => wait.min(UNANSWERED_AS * self.lat),
                     _ => 0.0,
                 };
                 node.lat += (least - node.lat).max(0.0) * UNANSWERED;
