--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -49,7 +49,6 @@
 const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: where answers are quick, one lost shuts no node
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
-const HOPELESS: Tick = 500; // ticks: how long a block I/O already past its goal may wait for an idle node
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
 const ASK_FIRST: u64 = 2_000; // ticks: hosts that start together ask the list spread over this
@@ -68,7 +67,6 @@
 struct IoGroup {
     effect: Effect,
     goal: Tick,
-    late: f64,
     gain: f64,
     ordered: bool,
     submits: u32,
@@ -143,7 +141,6 @@
     bio: Bio,
     node: Option<NodeId>,
     goal: Tick,
-    due: Tick,
     submits: u32,
     out: bool,
     over: bool,
@@ -249,7 +246,6 @@
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
             goal: g.goal,
-            late: g.late_share,
             gain: g.gain,
             ordered: g.ordered,
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
@@ -365,7 +361,7 @@
         vol.seen = now;
         vol.in_hand += 1;
         let step: Option<Step> = Some(Self::answer_or_resend);
-        self.slots.enter(bio.id.0, || Slot { bio, goal, due: Tick::MAX, step, ..Slot::default() });
+        self.slots.enter(bio.id.0, || Slot { bio, goal, step, ..Slot::default() });
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
@@ -457,7 +453,7 @@
             }
             self.alarms.pop();
             // The slot may hold a later block I/O by now, or one that was sent meanwhile.
-            if self.slots.get(id.0).is_some_and(|s| !s.over && !s.out && s.due <= now) {
+            if self.slots.get(id.0).is_some_and(|s| !s.over && !s.out && s.goal <= now) {
                 self.give_up(host, now, id);
             }
         }
@@ -662,7 +658,7 @@
     }
 
     /// What a unit of this block I/O would still earn if it were sent now.
-    fn density(&self, slot: &Slot, now: Tick, node: &Node) -> f64 {
+    fn density(&self, slot: &Slot, node: &Node) -> f64 {
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
@@ -671,9 +667,7 @@
         let beyond = if own { self.share_gain } else { self.spare_gain };
         let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
         let tier = inside + (1.0 - inside) * beyond;
-        // An answer past the goal earns its part of the least that is still due.
-        let late = if node.late(now, slot.goal) { group.late * self.spare_gain / tier } else { 1.0 };
-        tier * late * group.gain * plan.price
+        tier * group.gain * plan.price
     }
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
@@ -696,11 +690,11 @@
                 if passed || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
                     continue;
                 }
-                // What will be late only fills a node that is otherwise idle.
+                // Nothing out here says nothing of a node that many share: what will be late only fills it.
                 if node.late(now, slot.goal) {
                     continue;
                 }
-                let gain = self.density(slot, now, node);
+                let gain = self.density(slot, node);
                 // What earns little leaves a crowded node to the other hosts' better block I/Os.
                 // Likewise what is left of a cold node's part is kept for the best.
                 let lacks = (1.0 - gain / self.usual_gain).max(0.0);
@@ -918,8 +912,7 @@
         let slot = &mut self.slots[id.0];
         slot.node = Some(at);
         // Held past its goal it is given up, after each submit anew.
-        slot.due = (bio.hard_limit - LAST_CALL).min(slot.goal.max(now + HOPELESS));
-        self.alarms.push(Reverse((slot.due, id)));
+        self.alarms.push(Reverse((slot.goal, id)));
         let vol = &self.volumes[bio.vol.0];
         let base = self.plans[vol.plan].reserve * WINDOW as f64 / vol.hosts;
         let node = &mut self.nodes[at.0];
