A price over all nodes that rises with late answers

A host's price over all nodes keeps what the swings forget. Holds against any overload of many nodes; might hurt where a single very slow node has most of a host's answers.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -47,6 +47,9 @@
 const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
 const NEVER_LATE: f64 = 0.9; // of the shortest goal, to which a mean wait over all nodes goes: what is new has a chance
 const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: where answers are quick, one lost shuts no node
+const DEARER: f64 = 0.05; // price that a late answer adds over all nodes, and an answer in time takes off:
+const CHEAPER: f64 = 0.004; // it settles where one answer in thirteen is late
+const PRICE_MOST: f64 = 0.9; // of the mean gain in full: what earns that may always go
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -229,6 +232,7 @@
     losing: Tick,
     lat: f64,
     best: f64,
+    price: f64,
 }
 
 impl Scheduler {
@@ -700,7 +704,8 @@
                 let lacks = (1.0 - gain / self.usual_gain).max(0.0);
                 let above = (node.lat - self.best) / goal - PRICE_FROM;
                 let price = above * self.others / (PRICE_SPAN * node.wt.powi(2) * node.heard.max(1.0));
-                if 1.0 - lacks < price.min(0.9) || slot.bio.units + part * lacks > room {
+                if 1.0 - lacks < price.max(self.price).min(PRICE_MOST) || slot.bio.units + part * lacks > room
+                {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
@@ -831,6 +836,8 @@
             Ending::Done => {
                 self.lat += (wait.min(NEVER_LATE * self.short_goal) - self.lat) * LAT_ALL;
                 self.best = (self.best * BEST_RISES).min(self.lat);
+                let step = if wait > self.short_goal { DEARER } else { -CHEAPER };
+                self.price = (self.price + step * self.others).clamp(0.0, PRICE_MOST);
                 // Many hosts leave each of them few answers: then the last one says more than the mean.
                 node.heard += 1.0;
                 let step = (1.0 / node.heard).max(LAT_STEP);
