Price over all nodes by the others' part; its story; no bound of 64 volumes at a node

Late answers add 0.1, others take off 0.008, and the price counts by the part of the other hosts. Volumes passed over in a round were marked by 64 bits, so that a 65th could wait for another: now each bears a mark. A moot submit no longer gives back its units: none was seen, and keeping them is the safe side.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -47,8 +47,8 @@
 const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
 const NEVER_LATE: f64 = 0.9; // of the shortest goal, to which a mean wait over all nodes goes: what is new has a chance
 const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: where answers are quick, one lost shuts no node
-const DEARER: f64 = 0.05; // price that a late answer adds over all nodes, and an answer in time takes off:
-const CHEAPER: f64 = 0.004; // it settles where one answer in thirteen is late
+const DEARER: f64 = 0.1; // price that a late answer adds over all nodes, and an answer in time takes off:
+const CHEAPER: f64 = 0.008; // it settles where one answer in thirteen is late
 const PRICE_MOST: f64 = 0.9; // of the mean gain in full: what earns that may always go
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
@@ -106,6 +106,7 @@
     held: f64,
     hist: f64,
     burst: bool,
+    passed: u64,
 }
 
 #[derive(Default)]
@@ -233,6 +234,7 @@
     lat: f64,
     best: f64,
     price: f64,
+    pumps: u64,
 }
 
 impl Scheduler {
@@ -399,12 +401,6 @@
             vol.told += outcome.by_others.clamp(0.0, self.plans[vol.plan].burst);
             vol.others = vol.others.or(Some(0.0));
         }
-        if outcome.ending == Ending::Moot && slot.submits == 1 && slot.drew {
-            slot.drew = false;
-            let (vol, plan) = (slot.bio.vol, slot.bio.plan);
-            let vol = &mut self.volumes[vol.0];
-            vol.store = (vol.store + units).min(self.plans[plan as usize].burst / vol.hosts);
-        }
         // What was cut off may still run: the key rests.
         let cut = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
         if let (Some(key), true) = (slot.bio.key, cut && self.groups[slot.bio.group as usize].ordered) {
@@ -662,13 +658,12 @@
     }
 
     /// What a unit of this block I/O would still earn if it were sent now.
-    fn density(&self, slot: &Slot, node: &Node) -> f64 {
+    fn density(&self, slot: &Slot, share: &Share) -> f64 {
         let group = &self.groups[slot.bio.group as usize];
         let vol = &self.volumes[slot.bio.vol.0];
         let plan = &self.plans[vol.plan];
         // The part of it inside the reserve counts in full, the rest as the share or, beyond that, as spare.
-        let own = node.shares[node.share(slot.bio.vol)].alloc > 0.0;
-        let beyond = if own { self.share_gain } else { self.spare_gain };
+        let beyond = if share.alloc > 0.0 { self.share_gain } else { self.spare_gain };
         let inside = (vol.reserve / slot.bio.units.max(self.mean_units / 8.0)).min(1.0);
         let tier = inside + (1.0 - inside) * beyond;
         tier * group.gain * plan.price
@@ -676,7 +671,8 @@
 
     /// Sends what a node has room for: the most gain first, and of equal gain the earliest goal.
     fn pump(&mut self, host: &mut dyn Host, now: Tick, at: NodeId) {
-        let mut passed: u64 = 0; // volumes that the design lets wait this time, by their place in `shares`
+        self.pumps += 1; // marks the volumes that the design lets wait this time
+        let turn = self.pumps;
         loop {
             let (room, part) = self.cold_room(now, at);
             let further = self.may_send_again(now);
@@ -687,25 +683,23 @@
             {
                 return;
             }
+            // What earns little leaves a crowded node, or crowded nodes, to the other hosts' better block I/Os.
+            let above = ((node.lat - self.best) / goal - PRICE_FROM) / PRICE_SPAN;
+            let price = above / (node.wt.powi(2) * node.heard.max(1.0));
+            let price = (price.max(self.price) * self.others).min(PRICE_MOST);
             let mut best: Option<(f64, Tick, usize)> = None;
             for (i, id) in node.held.iter().enumerate() {
                 let slot = &self.slots[id.0];
-                let passed = passed >> (node.share(slot.bio.vol) & 63) & 1 == 1;
-                if passed || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
-                    continue;
-                }
+                let share = &node.shares[node.share(slot.bio.vol)];
                 // Nothing out here says nothing of a node that many share: what will be late only fills it.
-                if node.late(now, slot.goal) {
+                let waits = share.passed == turn || node.late(now, slot.goal);
+                if waits || slot.submits > 0 && !further || !self.may_send(slot, now, at) {
                     continue;
                 }
-                let gain = self.density(slot, node);
-                // What earns little leaves a crowded node to the other hosts' better block I/Os.
-                // Likewise what is left of a cold node's part is kept for the best.
+                let gain = self.density(slot, share);
+                // What is left of a cold node's part is kept for the best.
                 let lacks = (1.0 - gain / self.usual_gain).max(0.0);
-                let above = (node.lat - self.best) / goal - PRICE_FROM;
-                let price = above * self.others / (PRICE_SPAN * node.wt.powi(2) * node.heard.max(1.0));
-                if 1.0 - lacks < price.max(self.price).min(PRICE_MOST) || slot.bio.units + part * lacks > room
-                {
+                if 1.0 - lacks < price || slot.bio.units + part * lacks > room {
                     continue;
                 }
                 if best.is_none_or(|(g, goal, _)| gain > g || gain == g && slot.goal < goal) {
@@ -716,7 +710,9 @@
             let id = node.held[i];
             let bio = self.slots[id.0].bio;
             if !self.admit(at, bio.vol, bio.units) {
-                passed |= 1 << (self.nodes[at.0].share(bio.vol) & 63);
+                let node = &mut self.nodes[at.0];
+                let own = node.share(bio.vol);
+                node.shares[own].passed = turn;
                 continue;
             }
             self.nodes[at.0].held.swap_remove(i);
@@ -837,7 +833,7 @@
                 self.lat += (wait.min(NEVER_LATE * self.short_goal) - self.lat) * LAT_ALL;
                 self.best = (self.best * BEST_RISES).min(self.lat);
                 let step = if wait > self.short_goal { DEARER } else { -CHEAPER };
-                self.price = (self.price + step * self.others).clamp(0.0, PRICE_MOST);
+                self.price = (self.price + step).clamp(0.0, PRICE_MOST);
                 // Many hosts leave each of them few answers: then the last one says more than the mean.
                 node.heard += 1.0;
                 let step = (1.0 / node.heard).max(LAT_STEP);
