A second block I/O a fall span at a cold node where its part is more than the flow

Cause: a host that had sent one block I/O in two seconds waited for the span to pass, though the part of all had grown beyond their usual flow.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -734,13 +734,17 @@
         let grown = (self.cold.from + (1.0 - self.cold.from) * warm.min(1.0)) / self.cold.from;
         let mut part = self.cold.part.max(node.rate * self.cold.of_rate) * grown;
         let sent = node.sent.since(now - fall - 1);
-        if part < self.largest && sent == 0.0 {
+        if part < self.largest {
             if now >= node.cold_turn {
                 (node.cold_turn, node.cold_luck) = (now + fall, (self.pcg.below(CHANCES) + 1) as f64);
             }
             let luck = node.cold_luck / CHANCES as f64;
-            let known = node.rate > 0.0 && luck < self.cold.of_rate * grown / fall as f64;
-            part = if known { self.largest } else { (part / luck).min(self.largest) };
+            let flow = self.cold.of_rate * grown / fall as f64;
+            if node.rate > 0.0 && luck + f64::from(sent > 0.0) < flow {
+                part = self.largest;
+            } else if sent == 0.0 {
+                part = (part / luck).min(self.largest);
+            }
         }
         (part - sent, part)
     }
