--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -686,7 +686,7 @@
             // What earns little leaves a crowded node, or crowded nodes, to the other hosts' better block I/Os.
             let above = ((node.lat - self.best) / goal - PRICE_FROM) / PRICE_SPAN;
             let price = above / (node.wt.powi(2) * node.heard.max(1.0));
-            let price = (price.max(self.price) * self.others).min(PRICE_MOST);
+            let price = ((price.max(0.0) + self.price) * self.others).min(PRICE_MOST);
             let mut best: Option<(f64, Tick, usize)> = None;
             for (i, id) in node.held.iter().enumerate() {
                 let slot = &self.slots[id.0];
