--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -371,7 +371,7 @@
         if let Some(key) = bio.key {
             self.join(key, bio.id, ordered);
         }
-        if bio.hard_limit - LAST_CALL <= now {
+        if goal <= now {
             self.give_up(host, now, bio.id);
         } else if let Some(node) = self.place(host, now, bio.id) {
             self.pump(host, now, node);
@@ -890,7 +890,7 @@
         }
         let group = &self.groups[slot.bio.group as usize];
         let may_repeat = slot.ran.is_none() || group.effect != Effect::SideEffecting;
-        let time_left = slot.bio.hard_limit - LAST_CALL > now;
+        let time_left = slot.goal > now;
         if !may_repeat || !time_left || slot.submits >= group.submits {
             return self.give_up(host, now, id);
         }
