--- a/crates/scheduler/src/pcg.rs
+++ b/crates/scheduler/src/pcg.rs
@@ -20,4 +20,9 @@
     pub(crate) fn below(&mut self, n: u64) -> u64 {
         (u64::from(self.next()) * n) >> 32
     }
+
+    /// A number above 0 and up to 1.
+    pub(crate) fn part(&mut self) -> f64 {
+        (f64::from(self.next()) + 1.0) / (f64::from(u32::MAX) + 1.0)
+    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,7 +39,6 @@
 const HEARD_KEPT: f64 = 0.9; // a window, of the answers that a mean wait goes by: about the last second's
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
 const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall: the rest is for surges, leads that move and chance
-const CHANCES: u64 = 1 << 20; // steps of a draw between 0 and 1
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
@@ -71,6 +70,7 @@
     effect: Effect,
     goal: Tick,
     gain: f64,
+    lacks: f64,
     ordered: bool,
     submits: u32,
 }
@@ -205,6 +205,7 @@
     spare_gain: f64,
     short_goal: f64,
     usual_gain: f64,
+    hosts: u32,
     others: f64,
     wt_start: f64,
     try_most: Tick,
@@ -249,10 +250,12 @@
         let hosts = f64::from(terms.hosts.max(1));
         let mean_price = terms.plans.iter().map(|p| p.price).sum::<f64>() / terms.plans.len().max(1) as f64;
         let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
+        let most_gain = terms.groups.iter().map(|g| g.gain).fold(f64::MIN_POSITIVE, f64::max);
         let group = |g: &crate::host::IoGroup| IoGroup {
             effect: g.effect,
             goal: g.goal,
             gain: g.gain,
+            lacks: 1.0 - g.gain / most_gain,
             ordered: g.ordered,
             // Further submits go by gain: a block I/O of less than the mean gain gets one fewer.
             submits: if g.gain < mean_gain { terms.max_submits.min(2) } else { terms.max_submits }.max(1),
@@ -267,6 +270,7 @@
             largest: terms.largest.max(1.0),
             share_gain: terms.share_gain,
             spare_gain: terms.spare_gain,
+            hosts: if terms.hosts > 0 { terms.hosts } else { u32::MAX },
             others: 1.0 - 1.0 / hosts.sqrt(),
             wt_start: 1.0 + WT_START / hosts,
             try_most: (TRY_MOST * hosts.sqrt()) as Tick,
@@ -315,8 +319,8 @@
         for e in entries {
             let spread = self.pcg.below(RETURN_SPREAD) as Tick;
             // A node that replaces another holds its shard, and what this host sends there goes on.
-            let kin = self.nodes.iter().filter(|(_, n)| n.shard == e.shard);
-            let rate = kin.map(|(_, n)| n.rate).fold(0.0, f64::max);
+            let kin = self.nodes.iter().filter(|(_, n)| n.shard == e.shard).map(|(_, n)| n.rate);
+            let rate = kin.fold(0.0, f64::max);
             let node = self.nodes.enter(e.node.0, Node::default);
             node.rate = node.rate.max(rate);
             let fresh = node.wt == 0.0;
@@ -357,7 +361,7 @@
         let goal = self.turned.iter().find(first).map_or(now + group.goal, |t| t.2);
         let goal = goal.min(bio.hard_limit - LAST_CALL);
         let ordered = group.ordered;
-        let hosts = f64::from(bio.hosts.max(1));
+        let hosts = f64::from(bio.hosts.clamp(1, self.hosts));
         // A store opens empty when this host starts: a host that came back may have spent its part before.
         let empty = || Volume { plan: bio.plan as usize, hosts, filled: self.born, ..Volume::default() };
         let vol = self.volumes.enter(bio.vol.0, empty);
@@ -387,12 +391,10 @@
         }
         let slot = &mut self.slots[id.0];
         slot.out = false;
-        let (step, units, sent) = (slot.step, slot.bio.units, now - outcome.wait);
-        let at = outcome.node;
+        let (step, units, at, sent) = (slot.step, slot.bio.units, outcome.node, now - outcome.wait);
         self.learn(now, at, id, units, outcome);
         let slot = &mut self.slots[id.0];
-        let never_ran = matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot);
-        if !never_ran {
+        if !matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot) {
             slot.ran = slot.ran.or(Some((sent, at)));
         }
         if self.counts_others && outcome.ending == Ending::Done {
@@ -431,7 +433,7 @@
         self.sleep(host, now);
     }
 
-    // Neither probes nor peers decide anything yet: their gain is not measured.
+    // Peer messages were measured and gained nothing; probes were not.
     pub fn probed(&mut self, _host: &mut dyn Host, _now: Tick, _node: NodeId, _outcome: &Outcome) {}
 
     pub fn heard(&mut self, _host: &mut dyn Host, _now: Tick, _from: u32, _bytes: &[u8]) {}
@@ -736,14 +738,13 @@
         let sent = node.sent.since(now - fall - 1);
         if part < self.largest {
             if now >= node.cold_turn {
-                (node.cold_turn, node.cold_luck) = (now + fall, (self.pcg.below(CHANCES) + 1) as f64);
+                (node.cold_turn, node.cold_luck) = (now + fall, self.pcg.part());
             }
-            let luck = node.cold_luck / CHANCES as f64;
             let flow = self.cold.of_rate * grown / fall as f64;
-            if node.rate > 0.0 && luck + f64::from(sent > 0.0) < flow {
+            if node.rate > 0.0 && node.cold_luck + f64::from(sent > 0.0) < flow {
                 part = self.largest;
             } else if sent == 0.0 {
-                part = (part / luck).min(self.largest);
+                part = (part / node.cold_luck).min(self.largest);
             }
         }
         (part - sent, part)
@@ -767,8 +768,10 @@
             }
         }
         let vol = &self.volumes[slot.bio.vol.0];
-        let limited = self.plans[vol.plan].limit.is_finite();
-        if limited && !slot.drew && vol.store < slot.bio.units {
+        let plan = &self.plans[vol.plan];
+        // A store never fills while it is wanted: what is in it goes to the group of most gain.
+        let kept = group.lacks * plan.burst / vol.hosts;
+        if plan.limit.is_finite() && !slot.drew && vol.store < slot.bio.units + kept {
             return false;
         }
         slot.ran.is_none_or(|(sent, first)| match group.effect {
@@ -947,13 +950,9 @@
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &self.slots[id.0];
         self.turned.push((slot.bio.hard_limit, slot.bio.vol, slot.goal));
-        let harmless = slot.ran.is_none()
-            || match self.groups[slot.bio.group as usize].effect {
-                Effect::Idempotent => true,
-                Effect::Fingerprinted { scope, .. } => scope == Scope::All,
-                Effect::SideEffecting => false,
-            };
-        if harmless {
+        let effect = self.groups[slot.bio.group as usize].effect;
+        let dropped = matches!(effect, Effect::Idempotent | Effect::Fingerprinted { scope: Scope::All, .. });
+        if slot.ran.is_none() || dropped {
             host.shed(id, self.return_after);
         } else {
             host.fail(id);
