--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -579,7 +579,8 @@
         }
         // What goes to the node while it is well, for the day when it comes back cold.
         let rate = std::mem::take(&mut node.units) / WINDOW as f64;
-        if node.lat < target && node.failures == 0 && now > node.came_up + self.cold.span {
+        let warm = node.came_up == 0 || now > node.came_up + self.cold.span;
+        if node.lat < target && node.failures == 0 && warm {
             let young = WINDOW as f64 / (now - self.born).max(WINDOW) as f64;
             node.rate += (rate - node.rate) * young.max(RATE_STEP);
         }
