--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -49,6 +49,7 @@
 const DEARER: f64 = 0.1; // price that a late answer adds over all nodes, and an answer in time takes off:
 const CHEAPER: f64 = 0.008; // it settles where one answer in thirteen is late
 const PRICE_MOST: f64 = 0.9; // of the mean gain in full: what earns that may always go
+const SHORT: Tick = 30_000; // ticks: how long a store that was short serves only the group of most gain
 const OTHERS_STEP: f64 = 0.1; // weight of one window in the others' rate: about a second's worth
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
@@ -93,6 +94,7 @@
     filled: Tick,
     seen: Tick,
     in_hand: u32,
+    short: Tick,
     told: f64,
     others: Option<f64>,
 }
@@ -214,7 +216,6 @@
     order_rest: Tick,
     may_cancel: bool,
     return_after: Tick,
-    on_request: bool,
     counts_others: bool,
     pcg: Pcg,
     born: Tick,
@@ -262,7 +263,7 @@
         };
         let short_goal = terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64;
         let mut pcg = Pcg::new(seed);
-        let ask_at = now + pcg.below(ASK_FIRST) as Tick;
+        let ask_at = if terms.list_on_request { now + pcg.below(ASK_FIRST) as Tick } else { Tick::MAX };
         Scheduler {
             plans: terms.plans.iter().map(plan).collect(),
             groups: terms.groups.iter().map(group).collect(),
@@ -287,7 +288,6 @@
             order_rest: terms.order_rest,
             may_cancel: terms.may_cancel,
             return_after: if terms.may_name_return { terms.longest_return.min(WINDOW) } else { 0 },
-            on_request: terms.list_on_request,
             counts_others: terms.counts_others,
             pcg,
             born: now,
@@ -433,7 +433,6 @@
         self.sleep(host, now);
     }
 
-    // Peer messages were measured and gained nothing; probes were not.
     pub fn probed(&mut self, _host: &mut dyn Host, _now: Tick, _node: NodeId, _outcome: &Outcome) {}
 
     pub fn heard(&mut self, _host: &mut dyn Host, _now: Tick, _from: u32, _bytes: &[u8]) {}
@@ -445,9 +444,7 @@
         }
         if now >= self.ask_at {
             self.ask_at = Tick::MAX;
-            if self.on_request {
-                host.watch_list();
-            }
+            host.watch_list();
         }
         while let Some(&Reverse((at, id))) = self.alarms.peek() {
             if at > now {
@@ -769,10 +766,9 @@
             }
         }
         let vol = &self.volumes[slot.bio.vol.0];
-        let plan = &self.plans[vol.plan];
-        // A store never fills while it is wanted: what is in it goes to the group of most gain.
-        let kept = group.lacks * plan.burst / vol.hosts;
-        if plan.limit.is_finite() && !slot.drew && vol.store < slot.bio.units + kept {
+        // While a store is too short for the group of most gain, what fills it goes to no other.
+        let short = vol.store < slot.bio.units || group.lacks > 0.0 && now < vol.short;
+        if self.plans[vol.plan].limit.is_finite() && !slot.drew && short {
             return false;
         }
         slot.ran.is_none_or(|(sent, first)| match group.effect {
@@ -920,12 +916,10 @@
         let (a, b) = (nth(a), nth(b));
         let (line_a, line_b) = (self.line(now, a, bio.units, last), self.line(now, b, bio.units, last));
         let at = if line_a <= line_b { a } else { b };
-        let slot = &mut self.slots[id.0];
-        slot.node = Some(at);
+        self.slots[id.0].node = Some(at);
         // Held past its goal it is given up, after each submit anew.
-        self.alarms.push(Reverse((slot.goal, id)));
-        let vol = &self.volumes[bio.vol.0];
-        let base = self.plans[vol.plan].reserve * WINDOW as f64 / vol.hosts;
+        self.alarms.push(Reverse((self.slots[id.0].goal, id)));
+        let base = self.plans[bio.plan as usize].reserve * WINDOW as f64 / self.volumes[bio.vol.0].hosts;
         let node = &mut self.nodes[at.0];
         if !node.shares.iter().any(|s| s.vol == bio.vol) {
             node.shares.push(Share { vol: bio.vol, alloc: base, hist: base, ..Share::default() });
@@ -951,6 +945,10 @@
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &self.slots[id.0];
         self.turned.push((slot.bio.hard_limit, slot.bio.vol, slot.goal));
+        let (vol, group) = (&mut self.volumes[slot.bio.vol.0], &self.groups[slot.bio.group as usize]);
+        if group.lacks == 0.0 && !slot.drew && vol.store < slot.bio.units {
+            vol.short = now + SHORT;
+        }
         let effect = self.groups[slot.bio.group as usize].effect;
         let dropped = matches!(effect, Effect::Idempotent | Effect::Fingerprinted { scope: Scope::All, .. });
         if slot.ran.is_none() || dropped {
