--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -37,15 +37,15 @@
 const LOST_GOAL: f64 = 0.5; // of the shortest latency goal, at least: pauses of a node are no loss
 const LAT_STEP: f64 = 0.15; // weight of one answer in a node's mean wait
 const HEARD_KEPT: f64 = 0.9; // a window, of the answers that a mean wait goes by: about the last second's
-const PRICE_SPAN: f64 = 0.4; // of the shortest goal: mean wait from where narrowing starts to where all must be best
-const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall: the rest is for surges, leads that move and chance
+const PRICE_SPAN: f64 = 0.4; // of the shortest goal: the mean wait that takes a price from nothing to one
+const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall; the rest is for surges and for chance
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
 const PRICE_FROM: f64 = 0.08; // of the shortest goal: what a node's mean wait may lie above the best
 const UNANSWERED: f64 = 0.4; // weight of a submit without an answer in the mean wait: it may be lost as well
-const NEVER_LATE: f64 = 0.9; // of the shortest goal, to which a mean wait over all nodes goes: what is new has a chance
-const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: where answers are quick, one lost shuts no node
+const NEVER_LATE: f64 = 0.9; // of the shortest goal: the most of a mean over all nodes, so that new ones go
+const UNANSWERED_AS: f64 = 3.0; // mean waits of all nodes, at most: one lost answer shuts no quick node
 const DEARER: f64 = 0.1; // price that a late answer adds over all nodes, and an answer in time takes off:
 const CHEAPER: f64 = 0.008; // it settles where one answer in thirteen is late
 const PRICE_MOST: f64 = 0.9; // of the mean gain in full: what earns that may always go
@@ -683,7 +683,7 @@
             {
                 return;
             }
-            // What earns little leaves a crowded node, or crowded nodes, to the other hosts' better block I/Os.
+            // What earns little leaves a crowded node to the other hosts' better block I/Os.
             let above = ((node.lat - self.best) / goal - PRICE_FROM) / PRICE_SPAN;
             let price = above / (node.wt.powi(2) * node.heard.max(1.0));
             let price = ((price.max(0.0) + self.price) * self.others).min(PRICE_MOST);
@@ -720,10 +720,10 @@
         }
     }
 
-    /// Units that this host may still send to a node that has just started, and its whole part; the rest is the
-    /// others'. The part is an even one or goes by what this host sent here when all was well, since all hosts
-    /// together sent no more than the node could do. It grows no faster than the slowest warm-up that the terms
-    /// allow. Smaller than the largest block I/O, it goes out whole by a chance of its part, drawn for each fall span.
+    /// Units that this host may still send to a node that has just started, and its whole part. The part is
+    /// even or goes by what this host sent here when all was well, since all hosts together sent no more than
+    /// the node could do. It grows with the slowest warm-up that the terms allow. Smaller than the largest
+    /// block I/O, it goes out whole by a chance drawn for each fall span. Hurts where all surge at a return.
     fn cold_room(&mut self, now: Tick, at: NodeId) -> (f64, f64) {
         let (fall, node) = (self.cold.fall, &mut self.nodes[at.0]);
         let age = now - node.came_up;
@@ -860,8 +860,8 @@
                 }
             }
             Ending::Moot | Ending::Cancelled => {}
-            // A quick failure is no quick answer: it narrows the window, and a full queue or no answer in time
-            // says that the wait is long. Without these a node that is jammed would look as quick as it was.
+            // A quick failure is no quick answer: it narrows the window, and a full queue or no answer says
+            // that the wait is long. Without these a node that is jammed would look as quick as it was.
             _ => {
                 let least = match outcome.ending {
                     Ending::Busy => self.short_goal,
