--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -6,6 +6,32 @@
 use crate::scsi::Sense;
 use crate::target::Fault;
 use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// Data of a write, shared with whoever may send it again.
+#[derive(Clone, Debug, Default)]
+pub struct Payload {
+    bytes: Rc<Vec<u8>>,
+    from: usize,
+    to: usize,
+}
+
+impl Payload {
+    /// A piece of it: `len` bytes from `from` on.
+    pub fn piece(&self, from: usize, len: usize) -> Payload {
+        Payload { bytes: Rc::clone(&self.bytes), from: self.from + from, to: self.from + from + len }
+    }
+
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes[self.from..self.to]
+    }
+}
+
+impl From<Vec<u8>> for Payload {
+    fn from(bytes: Vec<u8>) -> Self {
+        Payload { from: 0, to: bytes.len(), bytes: Rc::new(bytes) }
+    }
+}
 
 /// What came in; `tag` is the caller's own name of a command.
 #[derive(Debug, PartialEq, Eq)]
@@ -41,7 +67,7 @@
     lun: u16,
     read: Vec<u8>,
     room: usize,
-    write: Vec<u8>,
+    write: Payload,
     sent: usize,
     /// Where in the stream its command stands.
     place: u64,
@@ -106,7 +132,8 @@
 
     /// Sends a command: `room` bytes of data are expected back, `write` goes out with it. False, and nothing
     /// sent, while the target's window is closed.
-    pub fn command(&mut self, tag: u32, lun: u16, cdb: &[u8; 16], room: usize, write: Vec<u8>) -> bool {
+    pub fn command(&mut self, tag: u32, lun: u16, cdb: &[u8; 16], room: usize, write: Payload) -> bool {
+        let data = write.bytes();
         if !self.may_send() {
             return false;
         }
@@ -120,8 +147,8 @@
         // A tag is not used again at once: a late answer must not find another command.
         self.turn = (self.turn + 1) % 0x7fff;
         let itt = (u32::from(self.turn) << 16) | at as u32;
-        let writes = !write.is_empty();
-        let unsolicited = write.len().min(self.params.first_burst);
+        let writes = !data.is_empty();
+        let unsolicited = data.len().min(self.params.first_burst);
         let immediate = if self.params.immediate_data { unsolicited.min(self.params.max_send) } else { 0 };
         let more = !self.params.initial_r2t && immediate < unsolicited;
         let direction = if writes {
@@ -132,7 +159,7 @@
             0
         };
         let flags = direction | flag::SIMPLE | if more { 0 } else { flag::FINAL };
-        let len = if writes { write.len() } else { room };
+        let len = if writes { data.len() } else { room };
         let bhs = Bhs::new(op::SCSI_COMMAND, flags)
             .with_lun(lun)
             .with_itt(itt)
@@ -142,7 +169,7 @@
             .with_cdb(cdb);
         self.cmd_sn = self.cmd_sn.wrapping_add(1);
         let place = self.out.places().1;
-        self.out.push(bhs, &write[..immediate]);
+        self.out.push(bhs, &data[..immediate]);
         let mut out =
             Out { tag, itt, lun, read: Vec::new(), room, write, sent: immediate, place, aborted: false };
         if more {
@@ -170,7 +197,7 @@
                 .with_exp_sn(self.exp_stat_sn)
                 .with_data_sn(data_sn)
                 .with_offset(out.sent as u32);
-            self.out.push(bhs, &out.write[out.sent..out.sent + len]);
+            self.out.push(bhs, &out.write.bytes()[out.sent..out.sent + len]);
             out.sent += len;
             data_sn += 1;
         }
@@ -181,7 +208,7 @@
         let found = self.outs.iter_mut().flatten().find(|o| o.tag == tag && !o.aborted);
         let Some(out) = found else { return };
         out.aborted = true;
-        (out.read, out.write) = (Vec::new(), Vec::new());
+        (out.read, out.write) = (Vec::new(), Payload::default());
         let (lun, itt) = (out.lun, out.itt);
         let bhs = Bhs::new(op::TASK_REQUEST, flag::FINAL | task::ABORT_TASK)
             .with_immediate()
@@ -361,7 +388,7 @@
         let mut out = self.outs[at].take().expect("found");
         if !out.aborted {
             let (from, len) = (bhs.offset() as usize, bhs.word44() as usize);
-            if from != out.sent || from + len > out.write.len() || len == 0 {
+            if from != out.sent || from + len > out.write.bytes().len() || len == 0 {
                 return Err(Fault(format!("asked for {len} bytes at {from}, {} to come", out.sent)));
             }
             self.burst(&mut out, bhs.word20(), from + len);
--- a/crates/iscsi/tests/sessions.rs
+++ b/crates/iscsi/tests/sessions.rs
@@ -79,13 +79,13 @@
         let wishes = Wishes { digests, ..small() };
         let mut pair = Pair::new(wishes, wishes, 613);
         let bytes: Vec<u8> = (0..40_001u32).map(|i| (i * 7) as u8).collect();
-        assert!(pair.initiator.command(1, 3, &scsi::rw16(true, 9, 80, 5), 0, bytes.clone()));
+        assert!(pair.initiator.command(1, 3, &scsi::rw16(true, 9, 80, 5), 0, bytes.clone().into()));
         pair.run();
         let (task, cdb, data) = pair.command();
         assert_eq!(scsi::read_cdb(&cdb), Ok(Command::Write { lba: 9, blocks: 80, group: 5 }));
         assert!(data == bytes);
         pair.target.good(task, &[]);
-        assert!(pair.initiator.command(2, 3, &scsi::rw16(false, 9, 80, 5), bytes.len(), vec![]));
+        assert!(pair.initiator.command(2, 3, &scsi::rw16(false, 9, 80, 5), bytes.len(), vec![].into()));
         pair.run();
         let (task, ..) = pair.command();
         pair.target.good(task, &bytes);
@@ -102,7 +102,7 @@
 fn a_busy_answer_names_the_time_to_come_back_and_a_failure_its_sense() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
     for tag in 0..2 {
-        pair.initiator.command(tag, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![]);
+        pair.initiator.command(tag, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
     }
     pair.run();
     let (a, ..) = pair.command();
@@ -121,7 +121,7 @@
 #[test]
 fn an_aborted_command_is_never_answered_and_its_end_is_told_once() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
-    pair.initiator.command(5, 0, &scsi::rw16(true, 0, 1, 0), 0, vec![1; 512]);
+    pair.initiator.command(5, 0, &scsi::rw16(true, 0, 1, 0), 0, vec![1; 512].into());
     pair.run();
     let (task, ..) = pair.command();
     pair.initiator.abort(5);
@@ -137,7 +137,7 @@
 #[test]
 fn an_answer_that_crosses_an_abort_is_not_told() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
-    pair.initiator.command(5, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![]);
+    pair.initiator.command(5, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
     pair.run();
     let (task, ..) = pair.command();
     pair.target.good(task, &[7; 512]);
@@ -151,7 +151,7 @@
 fn the_command_window_closes_when_full_and_opens_again_with_each_answer() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
     let send = |pair: &mut Pair, tag| {
-        let sent = pair.initiator.command(tag, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![]);
+        let sent = pair.initiator.command(tag, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
         pair.run();
         sent
     };
@@ -166,7 +166,7 @@
 fn a_reset_unit_drops_its_commands_and_no_others() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
     for lun in [1, 2] {
-        pair.initiator.command(lun.into(), lun, &scsi::rw16(false, 0, 1, 0), 512, vec![]);
+        pair.initiator.command(lun.into(), lun, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
     }
     pair.initiator.reset_lun(1);
     pair.run();
@@ -204,7 +204,7 @@
     carry(&mut target, &mut initiator);
     initiator.came();
     initiator.text(b"SendTargets=All\0");
-    initiator.command(1, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![]);
+    initiator.command(1, 0, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
     carry(&mut target, &mut initiator);
     let listed = b"TargetName=iqn.t\0TargetAddress=127.0.0.1:3260,1\0".to_vec();
     assert_eq!(initiator.came(), Some(initiator::Came::Text(listed)));
@@ -214,8 +214,8 @@
 #[test]
 fn a_write_is_known_to_be_off_the_wire_until_its_first_byte_is_written() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
-    pair.initiator.command(1, 0, &scsi::rw16(true, 0, 1, 0), 0, vec![1; 512]);
-    pair.initiator.command(2, 0, &scsi::rw16(true, 1, 1, 0), 0, vec![1; 512]);
+    pair.initiator.command(1, 0, &scsi::rw16(true, 0, 1, 0), 0, vec![1; 512].into());
+    pair.initiator.command(2, 0, &scsi::rw16(true, 1, 1, 0), 0, vec![1; 512].into());
     assert!(!pair.initiator.on_the_wire(1));
     pair.initiator.out().wrote(1);
     assert!(pair.initiator.on_the_wire(1) && !pair.initiator.on_the_wire(2));
@@ -317,7 +317,7 @@
         own in any::<bool>(),
     ) {
         let mut pair = Pair::new(small(), small(), 4096);
-        pair.initiator.command(1, 0, &scsi::rw16(true, 0, 9, 0), 0, vec![3; 4600]);
+        pair.initiator.command(1, 0, &scsi::rw16(true, 0, 9, 0), 0, vec![3; 4600].into());
         let itt = u32::from_be_bytes(pair.initiator.out().waiting()[16..20].try_into().expect("four"));
         let mut bhs = Bhs::new(opcode, body[0]);
         bhs.0[16..48].copy_from_slice(&body);
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,153 @@
+//! From a draft to a sound site: what is missing, what refers to nothing, what contradicts.
+use crate::lines::{At, Problems, Word};
+use crate::read::{Draft, DraftRule, DraftVolume};
+use crate::site::{Direction, Rule, Site, Volume};
+
+/// What each kind of section cannot do without.
+const NEEDED: [(&str, &[&str]); 6] = [
+    ("host", &["listen", "target", "node-list", "window", "connections", "longest"]),
+    ("fleet", &["hosts", "unit", "mean-units", "largest-units", "submits"]),
+    ("plan", &[]),
+    ("group", &["effect", "goal", "hard-limit"]),
+    ("volume", &["lun", "plan", "blocks", "block-size", "hosts", "extent", "rule"]),
+    ("node", &["address", "target"]),
+];
+
+pub(crate) fn check(draft: Draft, problems: &mut Problems) -> Site {
+    let end = At { line: 1, column: 1 };
+    for (at, kind, seen) in &draft.seen {
+        let needed = NEEDED.iter().find(|n| n.0 == *kind).map_or(&[][..], |n| n.1);
+        for name in needed.iter().filter(|n| !seen.contains(**n)) {
+            problems.add(*at, format!("`{name}` in this section"), "none");
+        }
+    }
+    for (kind, there) in [
+        ("host", draft.host.is_some()),
+        ("fleet", draft.fleet.is_some()),
+        ("plan", !draft.plans.is_empty()),
+        ("group", !draft.groups.is_empty()),
+        ("volume", !draft.volumes.is_empty()),
+        ("node", !draft.nodes.is_empty()),
+    ] {
+        if !there {
+            problems.add(end, format!("a section `{kind}`"), "none in the file");
+        }
+    }
+    once(problems, "plan", draft.plans.iter().map(|p| (p.0, p.1.name.as_str())));
+    once(problems, "group", draft.groups.iter().map(|g| (g.0, g.1.name.as_str())));
+    once(problems, "node", draft.nodes.iter().map(|n| (n.0, n.1.name.as_str())));
+    once(problems, "volume", draft.volumes.iter().map(|v| (v.at, v.volume.name.as_str())));
+    let luns: Vec<String> = draft.volumes.iter().map(|v| v.volume.lun.to_string()).collect();
+    once(problems, "lun", draft.volumes.iter().zip(&luns).map(|(v, lun)| (v.at, lun.as_str())));
+    for (at, group) in &draft.groups {
+        if group.hard_limit > 0 && group.goal > group.hard_limit {
+            problems.add(*at, "a goal no longer than the hard limit", "a longer one");
+        }
+    }
+    for (at, plan) in &draft.plans {
+        if plan.limit > 0.0 && plan.reserve > plan.limit {
+            problems.add(*at, "a reserve no higher than the limit", "a higher one");
+        }
+    }
+    let (at, fleet) = draft.fleet.unwrap_or_default();
+    if fleet.hosts > 0 && fleet.largest_units < fleet.mean_units {
+        problems.add(at, "largest-units of at least mean-units", fleet.largest_units.to_string());
+    }
+    let plans: Vec<&str> = draft.plans.iter().map(|p| p.1.name.as_str()).collect();
+    let groups: Vec<(&str, bool)> = draft.groups.iter().map(|g| (g.1.name.as_str(), g.1.ordered)).collect();
+    let nodes: Vec<&str> = draft.nodes.iter().map(|n| n.1.name.as_str()).collect();
+    let mut places = Vec::new();
+    let mut volumes = Vec::new();
+    for v in draft.volumes {
+        volumes.push(volume(v, &plans, &groups, &nodes, &mut places, problems));
+    }
+    // Two runs on the same blocks of a node would be two names of the same data.
+    places.sort_by_key(|(node, first, ..): &(usize, u64, u64, At)| (*node, *first));
+    for pair in places.windows(2) {
+        let ((a, first, len, _), (b, second, _, at)) = (&pair[0], &pair[1]);
+        if a == b && first + len > *second {
+            problems.add(*at, "blocks of the node that no other extent uses", format!("block {second}"));
+        }
+    }
+    Site {
+        host: draft.host.unwrap_or_default().1,
+        fleet,
+        plans: draft.plans.into_iter().map(|p| p.1).collect(),
+        groups: draft.groups.into_iter().map(|g| g.1).collect(),
+        volumes,
+        nodes: draft.nodes.into_iter().map(|n| n.1).collect(),
+    }
+}
+
+fn once<'a>(problems: &mut Problems, kind: &str, names: impl Iterator<Item = (At, &'a str)>) {
+    let mut seen: Vec<(&str, At)> = Vec::new();
+    for (at, name) in names {
+        if let Some((_, first)) = seen.iter().find(|s| s.0 == name) {
+            let expected = format!("a {kind} other than that of line {}", first.line);
+            problems.add(at, expected, format!("`{name}` again"));
+        } else {
+            seen.push((name, at));
+        }
+    }
+}
+
+fn find(kind: &str, word: &Word, names: &[&str], problems: &mut Problems) -> usize {
+    let found = names.iter().position(|n| *n == word.text);
+    if found.is_none() {
+        problems.add(word.at, format!("the name of a {kind} in this file"), format!("`{}`", word.text));
+    }
+    found.unwrap_or(0)
+}
+
+fn volume(
+    draft: DraftVolume,
+    plans: &[&str],
+    groups: &[(&str, bool)],
+    nodes: &[&str],
+    places: &mut Vec<(usize, u64, u64, At)>,
+    problems: &mut Problems,
+) -> Volume {
+    let mut volume = draft.volume;
+    if let Some(plan) = &draft.plan {
+        volume.plan = find("plan", plan, plans, problems);
+    }
+    let mut extents: Vec<_> = draft.extents;
+    extents.sort_by_key(|e| e.0.first);
+    let mut next = 0;
+    for (extent, node) in &mut extents {
+        extent.node = find("node", node, nodes, problems);
+        places.push((extent.node, extent.node_first, extent.blocks, node.at));
+        if extent.first != next {
+            problems.add(node.at, format!("an extent from block {next} on"), extent.first.to_string());
+        }
+        next = extent.first + extent.blocks;
+    }
+    if volume.blocks > 0 && next != volume.blocks && !extents.is_empty() {
+        problems.add(draft.at, format!("extents of {} blocks in all", volume.blocks), next.to_string());
+    }
+    volume.extents = extents.into_iter().map(|e| e.0).collect();
+    let names: Vec<&str> = groups.iter().map(|g| g.0).collect();
+    for DraftRule { direction, range, group, key, at } in draft.rules {
+        let group = find("group", &group, &names, problems);
+        if groups.get(group).is_some_and(|g| g.1) && key == 0 {
+            problems.add(at, "`key BLOCKS`, since the group is ordered", "none");
+        }
+        let (first, last) = range.unwrap_or((0, u64::MAX));
+        if range.is_some() && last >= volume.blocks && volume.blocks > 0 {
+            problems.add(at, format!("blocks up to {}", volume.blocks - 1), last.to_string());
+        }
+        volume.rules.push(Rule { direction, first, last, group, key });
+    }
+    for direction in [Direction::Read, Direction::Write] {
+        let whole = |r: &&Rule| {
+            (r.direction == direction || r.direction == Direction::Any)
+                && r.first == 0
+                && (r.last == u64::MAX || r.last + 1 >= volume.blocks)
+        };
+        if !volume.rules.is_empty() && !volume.rules.iter().any(|r| whole(&r)) {
+            let word = if direction == Direction::Read { "read" } else { "write" };
+            problems.add(draft.at, format!("a rule for every {word}, of all blocks"), "none");
+        }
+    }
+    volume
+}
--- /dev/null
+++ b/crates/settings/src/lines.rs
@@ -0,0 +1,234 @@
+//! Lines, words and their places; values with units.
+use std::fmt;
+use std::net::SocketAddr;
+
+/// One thing wrong with a file. Line and column count from 1.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    pub line: usize,
+    pub column: usize,
+    pub expected: String,
+    pub found: String,
+}
+
+/// All that is wrong with a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problems {
+    pub file: String,
+    pub list: Vec<Problem>,
+}
+
+impl Problems {
+    pub(crate) fn new(file: &str) -> Self {
+        Problems { file: file.to_owned(), list: Vec::new() }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    pub(crate) fn add(&mut self, at: At, expected: impl Into<String>, found: impl Into<String>) {
+        let (expected, found) = (expected.into(), found.into());
+        self.list.push(Problem { line: at.line, column: at.column, expected, found });
+    }
+
+    pub(crate) fn sorted(mut self) -> Self {
+        self.list.sort();
+        self.list.dedup();
+        self
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, p) in self.list.iter().enumerate() {
+            let end = if i == 0 { "" } else { "\n" };
+            write!(f, "{end}{}:{}:{}: expected {}", self.file, p.line, p.column, p.expected)?;
+            if !p.found.is_empty() {
+                write!(f, ", found {}", p.found)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A place in the file.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct At {
+    pub line: usize,
+    pub column: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Word {
+    pub text: String,
+    pub at: At,
+}
+
+/// The words of a line: split at blanks, `"…"` keeps blanks, `#` opens a comment.
+pub(crate) fn words(line: usize, text: &str, problems: &mut Problems) -> Vec<Word> {
+    let mut found = Vec::new();
+    let mut chars = text.chars().enumerate().peekable();
+    while let Some((i, c)) = chars.next() {
+        let at = At { line, column: i + 1 };
+        match c {
+            c if c.is_whitespace() => {}
+            '#' => break,
+            '"' => {
+                let mut word = String::new();
+                let mut closed = false;
+                for (_, c) in chars.by_ref() {
+                    if c == '"' {
+                        closed = true;
+                        break;
+                    }
+                    word.push(c);
+                }
+                if !closed {
+                    problems.add(at, "a closing quote on the same line", "none");
+                }
+                found.push(Word { text: word, at });
+            }
+            c => {
+                let mut word = String::from(c);
+                while let Some((_, c)) = chars.next_if(|(_, c)| !c.is_whitespace()) {
+                    word.push(c);
+                }
+                found.push(Word { text: word, at });
+            }
+        }
+    }
+    found
+}
+
+/// The words behind a directive, taken in turn. A value that is missing or wrong is noted once and the rest
+/// of the line let be.
+pub(crate) struct Args<'a> {
+    words: &'a [Word],
+    next: usize,
+    end: At,
+    spoiled: bool,
+    problems: &'a mut Problems,
+}
+
+impl<'a> Args<'a> {
+    pub fn new(words: &'a [Word], problems: &'a mut Problems) -> Self {
+        let last = words.last().expect("a directive");
+        let end = At { line: last.at.line, column: last.at.column + last.text.chars().count() };
+        Args { words, next: 1, end, spoiled: false, problems }
+    }
+
+    pub fn at(&self) -> At {
+        self.words.get(self.next).map_or(self.end, |w| w.at)
+    }
+
+    pub fn more(&self) -> bool {
+        self.next < self.words.len() && !self.spoiled
+    }
+
+    /// The next word if it is this one.
+    pub fn literal(&mut self, text: &str) -> bool {
+        let hit = self.more() && self.words[self.next].text == text;
+        self.next += usize::from(hit);
+        hit
+    }
+
+    pub fn value<T>(&mut self, expected: &str, read: impl FnOnce(&str) -> Option<T>) -> Option<T> {
+        if self.spoiled {
+            return None;
+        }
+        let word = self.words.get(self.next);
+        let value = word.and_then(|w| read(&w.text));
+        if value.is_none() {
+            self.spoiled = true;
+            let found = word.map_or("the end of the line".into(), |w| format!("`{}`", w.text));
+            self.problems.add(self.at(), expected, found);
+        }
+        self.next += 1;
+        value
+    }
+
+    pub fn word(&mut self, expected: &str) -> Option<String> {
+        self.value(expected, |w| Some(w.to_owned()))
+    }
+
+    /// A name: letters, digits and `-_.:`.
+    pub fn name(&mut self, expected: &str) -> Option<Word> {
+        let at = self.at();
+        let fits = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+        let text = self.value(expected, |w| {
+            (!w.is_empty() && w.len() <= 223 && w.chars().all(fits)).then(|| w.to_owned())
+        })?;
+        Some(Word { text, at })
+    }
+
+    pub fn whole(&mut self, expected: &str, from: u64, to: u64) -> Option<u64> {
+        self.value(expected, |w| w.parse().ok().filter(|n| (from..=to).contains(n)))
+    }
+
+    pub fn number(&mut self, expected: &str, from: f64, to: f64) -> Option<f64> {
+        self.value(expected, |w| w.parse().ok().filter(|n: &f64| n.is_finite() && (from..=to).contains(n)))
+    }
+
+    /// Units a second: `20/s`.
+    pub fn rate(&mut self, expected: &str) -> Option<f64> {
+        self.value(expected, |w| {
+            w.strip_suffix("/s")?.parse().ok().filter(|n: &f64| n.is_finite() && (0.0..=1e12).contains(n))
+        })
+    }
+
+    pub fn percent(&mut self, expected: &str) -> Option<f64> {
+        self.value(expected, |w| {
+            let n: f64 = w.strip_suffix('%')?.parse().ok()?;
+            (n.is_finite() && (0.0..=100.0).contains(&n)).then_some(n / 100.0)
+        })
+    }
+
+    pub fn duration(&mut self, expected: &str) -> Option<u64> {
+        self.value(expected, |w| {
+            with_unit(
+                w,
+                &[("us", 1), ("ms", 1000), ("s", 1_000_000), ("m", 60_000_000), ("h", 3_600_000_000)],
+                86_400_000_000,
+            )
+        })
+    }
+
+    pub fn size(&mut self, expected: &str) -> Option<u64> {
+        let units = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("TiB", 1 << 40)];
+        self.value(expected, |w| with_unit(w, &units, 1 << 60))
+    }
+
+    pub fn address(&mut self, expected: &str) -> Option<SocketAddr> {
+        self.value(expected, |w| w.parse().ok())
+    }
+
+    /// Nothing may follow.
+    pub fn end(&mut self) {
+        if !self.spoiled && self.next < self.words.len() {
+            let word = &self.words[self.next];
+            self.problems.add(word.at, "the end of the line", format!("`{}`", word.text));
+        }
+    }
+}
+
+/// A number, whole or with a decimal point, and its unit, in multiples of the smallest unit.
+fn with_unit(word: &str, units: &[(&str, u64)], most: u64) -> Option<u64> {
+    let split = word.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = word.split_at(split);
+    let scale = units.iter().find(|u| u.0 == unit)?.1;
+    let (whole, part) = number.split_once('.').unwrap_or((number, ""));
+    if whole.is_empty() || part.len() > 9 || number.ends_with('.') {
+        return None;
+    }
+    let whole: u64 = whole.parse().ok()?;
+    let ten = 10u64.pow(part.len() as u32);
+    let part: u64 = if part.is_empty() { 0 } else { part.parse().ok()? };
+    let fine = u128::from(part) * u128::from(scale);
+    // What does not come out whole in the smallest unit was not meant.
+    if fine % u128::from(ten) != 0 {
+        return None;
+    }
+    let all = u128::from(whole) * u128::from(scale) + fine / u128::from(ten);
+    u64::try_from(all).ok().filter(|n| *n <= most)
+}
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,343 @@
+//! From text to a draft: every directive read, references still by name.
+use crate::lines::{Args, At, Problems, Word, words};
+use crate::site::{Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Volume};
+use std::collections::HashSet;
+
+#[derive(Default)]
+pub(crate) struct Draft {
+    pub host: Option<(At, Host)>,
+    pub fleet: Option<(At, Fleet)>,
+    pub plans: Vec<(At, Plan)>,
+    pub groups: Vec<(At, Group)>,
+    pub volumes: Vec<DraftVolume>,
+    pub nodes: Vec<(At, Node)>,
+    /// The directives that stood in each section, by where the section opens.
+    pub seen: Vec<(At, &'static str, HashSet<String>)>,
+}
+
+#[derive(Default)]
+pub(crate) struct DraftVolume {
+    pub at: At,
+    pub volume: Volume,
+    pub plan: Option<Word>,
+    pub extents: Vec<(Extent, Word)>,
+    pub rules: Vec<DraftRule>,
+}
+
+pub(crate) struct DraftRule {
+    pub direction: Direction,
+    /// First and last block; none: all.
+    pub range: Option<(u64, u64)>,
+    pub group: Word,
+    pub key: u64,
+    pub at: At,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Section {
+    None,
+    /// One that cannot be told: its lines are read over.
+    Lost,
+    Host,
+    Fleet,
+    Plan,
+    Group,
+    Volume,
+    Node,
+}
+
+const SECTIONS: &str = "a section: host, fleet, plan, group, volume or node";
+const MANY: [&str; 2] = ["extent", "rule"];
+const BLOCK: &str = "a block number";
+const NUMBER: &str = "a number from 0 up";
+
+pub(crate) fn read(text: &str, problems: &mut Problems) -> Draft {
+    let mut draft = Draft::default();
+    let mut section = Section::None;
+    for (i, line) in text.lines().enumerate() {
+        let words = words(i + 1, line, problems);
+        let Some(first) = words.first() else { continue };
+        if line.starts_with(char::is_whitespace) {
+            match section {
+                Section::None => problems.add(first.at, SECTIONS, format!("`{}`", first.text)),
+                Section::Lost => {}
+                _ => directive(&mut draft, section, &words, problems),
+            }
+        } else {
+            section = open(&mut draft, &words, problems);
+        }
+    }
+    draft
+}
+
+fn open(draft: &mut Draft, words: &[Word], problems: &mut Problems) -> Section {
+    let at = words[0].at;
+    let kind = words[0].text.as_str();
+    let mut args = Args::new(words, problems);
+    let (section, kind) = match kind {
+        "host" => (Section::Host, "host"),
+        "fleet" => (Section::Fleet, "fleet"),
+        "plan" => (Section::Plan, "plan"),
+        "group" => (Section::Group, "group"),
+        "volume" => (Section::Volume, "volume"),
+        "node" => (Section::Node, "node"),
+        other => {
+            problems.add(at, SECTIONS, format!("`{other}`"));
+            return Section::Lost;
+        }
+    };
+    let name = if section == Section::Fleet {
+        String::new()
+    } else {
+        let Some(name) = args.name("a name of letters, digits and -_.:") else { return Section::Lost };
+        name.text
+    };
+    args.end();
+    let twice = match section {
+        Section::Host => draft.host.is_some(),
+        Section::Fleet => draft.fleet.is_some(),
+        _ => false,
+    };
+    if twice {
+        problems.add(at, format!("one section `{kind}`"), "a second one");
+        return Section::Lost;
+    }
+    draft.seen.push((at, kind, HashSet::new()));
+    match section {
+        Section::Host => draft.host = Some((at, Host { name, ..Host::default() })),
+        Section::Fleet => draft.fleet = Some((at, Fleet::default())),
+        Section::Plan => {
+            draft.plans.push((at, Plan { name, weight: 1.0, price: 1.0, ..Plan::default() }));
+        }
+        Section::Group => draft.groups.push((at, Group { name, gain: 1.0, ..Group::default() })),
+        Section::Volume => {
+            let volume = Volume { name, ..Volume::default() };
+            draft.volumes.push(DraftVolume { at, volume, ..DraftVolume::default() });
+        }
+        Section::Node => {
+            let shard = draft.nodes.len() as u32;
+            draft.nodes.push((at, Node { name, shard, ..Node::default() }));
+        }
+        Section::None | Section::Lost => {}
+    }
+    section
+}
+
+/// Puts a value in its place if it could be read.
+fn set<T>(place: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *place = value;
+    }
+}
+
+fn directive(draft: &mut Draft, section: Section, words: &[Word], problems: &mut Problems) {
+    let name = words[0].text.clone();
+    let (opened, kind, seen) = draft.seen.last_mut().expect("a section is open");
+    let (opened, kind) = (*opened, *kind);
+    if !MANY.contains(&name.as_str()) && !seen.insert(name.clone()) {
+        let found = "a second one";
+        problems.add(words[0].at, format!("`{name}` once in the section of line {}", opened.line), found);
+        return;
+    }
+    seen.insert(name.clone());
+    let mut args = Args::new(words, problems);
+    let known = match section {
+        Section::Host => host(&mut draft.host.as_mut().expect("open").1, &name, &mut args),
+        Section::Fleet => fleet(&mut draft.fleet.as_mut().expect("open").1, &name, &mut args),
+        Section::Plan => plan(&mut draft.plans.last_mut().expect("open").1, &name, &mut args),
+        Section::Group => group(&mut draft.groups.last_mut().expect("open").1, &name, &mut args),
+        Section::Volume => volume(draft.volumes.last_mut().expect("open"), &name, &mut args),
+        Section::Node => node(&mut draft.nodes.last_mut().expect("open").1, &name, &mut args),
+        Section::None | Section::Lost => Err(""),
+    };
+    match known {
+        Ok(()) => args.end(),
+        Err(list) => problems.add(
+            words[0].at,
+            format!("a directive of section `{kind}` ({list})"),
+            format!("`{name}`"),
+        ),
+    }
+}
+
+type Known = Result<(), &'static str>;
+
+fn host(host: &mut Host, name: &str, args: &mut Args) -> Known {
+    match name {
+        "listen" => host.listen = args.address("an address and port"),
+        "target" => set(&mut host.target, args.name("an iSCSI name").map(|w| w.text)),
+        "control" => host.control = args.word("a path").map(Into::into),
+        "node-list" => {
+            if !args.literal("static") {
+                host.node_list = args.address("an address and port, or static");
+            }
+        }
+        "kept-list" => host.kept_list = args.word("a path").map(Into::into),
+        "window" => set(&mut host.window, args.whole("1 to 1024", 1, 1024).map(|n| n as u32)),
+        "connections" => set(&mut host.connections, args.whole("1 to 65536", 1, 65536).map(|n| n as u32)),
+        "longest" => set(&mut host.longest, args.size("a size such as 1MiB")),
+        "digests" => {
+            if !args.literal("none") {
+                while args.more() {
+                    let which = args.value("header, data or none", |w| match w {
+                        "header" => Some(true),
+                        "data" => Some(false),
+                        _ => None,
+                    });
+                    host.header_digest |= which == Some(true);
+                    host.data_digest |= which == Some(false);
+                }
+            }
+        }
+        "seed" => host.seed = args.whole("a whole number", 0, u64::MAX),
+        _ => {
+            return Err(
+                "listen, target, control, node-list, kept-list, window, connections, longest, digests, seed",
+            );
+        }
+    }
+    Ok(())
+}
+
+fn fleet(fleet: &mut Fleet, name: &str, args: &mut Args) -> Known {
+    let span = "a duration such as 200ms";
+    match name {
+        "hosts" => set(&mut fleet.hosts, args.whole("1 to 65536", 1, 65536).map(|n| n as u32)),
+        "unit" => set(&mut fleet.unit, args.size("a size such as 4KiB").filter(|n| *n > 0)),
+        "mean-units" => set(&mut fleet.mean_units, args.number("a number above 0", 1e-6, 1e9)),
+        "largest-units" => set(&mut fleet.largest_units, args.number("a number above 0", 1e-6, 1e9)),
+        "share-gain" => set(&mut fleet.share_gain, args.percent("a percentage such as 35%")),
+        "spare-gain" => set(&mut fleet.spare_gain, args.percent("a percentage such as 10%")),
+        "submits" => set(&mut fleet.submits, args.whole("1 to 16", 1, 16).map(|n| n as u32)),
+        "come-back" => set(&mut fleet.come_back, args.duration(span)),
+        "order-rest" => set(&mut fleet.order_rest, args.duration(span)),
+        "cold" => {
+            set(&mut fleet.cold_from, args.percent("a percentage: what a cold node can do"));
+            set(&mut fleet.cold_span, args.duration("a duration: until a node is warm"));
+            set(&mut fleet.fall_multiple, args.number("a multiple from 1 up", 1.0, 1e6));
+            set(&mut fleet.fall_span, args.duration("a duration: within which it falls"));
+            set(&mut fleet.cold_bears, args.number("units that it always bears", 0.0, 1e9));
+        }
+        "further" => {
+            set(&mut fleet.further_free, args.number("a number of further submits", 0.0, 1e9));
+            set(&mut fleet.further_part, args.percent("a percentage of the block I/Os taken"));
+            set(&mut fleet.further_span, args.duration("a duration above 0").filter(|n| *n > 0));
+        }
+        _ => {
+            return Err(
+                "hosts, unit, mean-units, largest-units, share-gain, spare-gain, submits, come-back, \
+                        order-rest, cold, further",
+            );
+        }
+    }
+    Ok(())
+}
+
+fn plan(plan: &mut Plan, name: &str, args: &mut Args) -> Known {
+    let rate = "units a second such as 20/s";
+    match name {
+        "usual" => set(&mut plan.usual, args.rate(rate)),
+        "reserve" => set(&mut plan.reserve, args.rate(rate)),
+        "limit" => {
+            set(&mut plan.limit, args.rate(rate));
+            let burst = if args.literal("burst") { args.number("units at once", 0.0, 1e12) } else { None };
+            if burst.is_none() {
+                args.value::<()>("burst UNITS", |_| None);
+            }
+            set(&mut plan.limit_burst, burst);
+        }
+        "weight" => set(&mut plan.weight, args.number(NUMBER, 0.0, 1e6)),
+        "price" => set(&mut plan.price, args.number(NUMBER, 0.0, 1e6)),
+        _ => return Err("usual, reserve, limit, weight, price"),
+    }
+    Ok(())
+}
+
+fn group(group: &mut Group, name: &str, args: &mut Args) -> Known {
+    match name {
+        "effect" => set(
+            &mut group.effect,
+            args.value("idempotent or side-effecting", |w| match w {
+                "idempotent" => Some(Effect::Idempotent),
+                "side-effecting" => Some(Effect::SideEffecting),
+                _ => None,
+            }),
+        ),
+        "goal" => set(&mut group.goal, args.duration("a duration such as 200ms")),
+        "hard-limit" => set(&mut group.hard_limit, args.duration("a duration such as 2s")),
+        "gain" => set(&mut group.gain, args.number(NUMBER, 0.0, 1e6)),
+        "late-gain" => set(&mut group.late_share, args.percent("a percentage such as 15%")),
+        "ordered" => group.ordered = true,
+        _ => return Err("effect, goal, hard-limit, gain, late-gain, ordered"),
+    }
+    Ok(())
+}
+
+fn volume(draft: &mut DraftVolume, name: &str, args: &mut Args) -> Known {
+    let volume = &mut draft.volume;
+    match name {
+        "lun" => set(&mut volume.lun, args.whole("0 to 16383", 0, 16383).map(|n| n as u16)),
+        "plan" => draft.plan = args.name("the name of a plan"),
+        "blocks" => set(&mut volume.blocks, args.whole("a number of blocks above 0", 1, 1 << 50)),
+        "block-size" => {
+            let size = args.value("512B or 4KiB", |w| match w {
+                "512B" => Some(512),
+                "4KiB" => Some(4096),
+                _ => None,
+            });
+            set(&mut volume.block_size, size);
+        }
+        "hosts" => set(&mut volume.hosts, args.whole("1 to 65536", 1, 65536).map(|n| n as u32)),
+        "extent" => {
+            let first = args.whole(BLOCK, 0, 1 << 50);
+            let blocks = args.whole("a number of blocks above 0", 1, 1 << 50);
+            let node = args.name("the name of a node");
+            let node_first = if args.literal("at") { args.whole(BLOCK, 0, 1 << 50) } else { None };
+            if node_first.is_none() {
+                args.value::<()>("at BLOCK", |_| None);
+            }
+            if let (Some(first), Some(blocks), Some(node), Some(node_first)) =
+                (first, blocks, node, node_first)
+            {
+                draft.extents.push((Extent { first, blocks, node: 0, node_first }, node));
+            }
+        }
+        "rule" => {
+            let at = args.at();
+            let direction = args.value("read, write or any", |w| match w {
+                "read" => Some(Direction::Read),
+                "write" => Some(Direction::Write),
+                "any" => Some(Direction::Any),
+                _ => None,
+            });
+            let range = if args.literal("blocks") {
+                args.value("FIRST-LAST", |w| {
+                    let (first, last) = w.split_once('-')?;
+                    let range: (u64, u64) = (first.parse().ok()?, last.parse().ok()?);
+                    (range.0 <= range.1).then_some(range)
+                })
+            } else {
+                None
+            };
+            let group = args.name("the name of a group");
+            let key = if args.literal("key") { args.whole("blocks of one key", 1, 1 << 50) } else { Some(0) };
+            if let (Some(direction), Some(group), Some(key)) = (direction, group, key) {
+                draft.rules.push(DraftRule { direction, range, group, key, at });
+            }
+        }
+        _ => return Err("lun, plan, blocks, block-size, hosts, extent, rule"),
+    }
+    Ok(())
+}
+
+fn node(node: &mut Node, name: &str, args: &mut Args) -> Known {
+    match name {
+        "address" => node.address = args.address("an address and port"),
+        "target" => set(&mut node.target, args.name("an iSCSI name").map(|w| w.text)),
+        "lun" => set(&mut node.lun, args.whole("0 to 16383", 0, 16383).map(|n| n as u16)),
+        "zone" => set(&mut node.zone, args.name("a name").map(|w| w.text)),
+        "shard" => set(&mut node.shard, args.whole("0 to 65535", 0, 65535).map(|n| n as u32)),
+        _ => return Err("address, target, lun, zone, shard"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/settings/tests/reading.rs
@@ -0,0 +1,145 @@
+//! A file is read whole, and what is wrong with it comes back in one go.
+use mallowseam_settings::read;
+use mallowseam_settings::site::{Direction, Effect};
+use proptest::prelude::*;
+
+const SOUND: &str = r#"
+# a small site
+host gw1
+    listen 127.0.0.1:3260
+    target iqn.2026-12.example:ledgers
+    control "/run/mallow seam/gw1.sock"
+    node-list 127.0.0.1:7000
+    window 32
+    connections 100
+    longest 1MiB
+    digests header data
+fleet
+    hosts 3
+    unit 4KiB
+    mean-units 2
+    largest-units 8
+    share-gain 35%
+    spare-gain 10%
+    submits 3
+    order-rest 200ms
+    cold 23% 18s 2 3s 4
+    further 3 10% 10s
+plan basic
+    usual 20/s
+    limit 40/s burst 16
+group lookup
+    effect idempotent
+    goal 0.2s
+    hard-limit 1s
+    gain 3
+group post
+    effect side-effecting
+    goal 250ms
+    hard-limit 2s
+    ordered
+volume water
+    lun 1
+    plan basic
+    blocks 2048
+    block-size 512B
+    hosts 3
+    extent 1024 1024 brick2 at 0
+    extent 0 1024 brick1 at 64
+    rule read lookup
+    rule write blocks 0-99 post key 8   # accounts
+    rule write lookup
+node brick1
+    address 127.0.0.1:4001
+    target iqn.2026-12.example:brick1
+node brick2
+    address 127.0.0.1:4002
+    target iqn.2026-12.example:brick2
+    zone b
+"#;
+
+#[test]
+fn a_sound_file_says_what_it_says() {
+    let site = read("f", SOUND).expect("sound");
+    assert_eq!(site.host.control.as_deref(), Some(std::path::Path::new("/run/mallow seam/gw1.sock")));
+    assert_eq!((site.groups[0].goal, site.groups[1].effect), (200_000, Effect::SideEffecting));
+    let water = &site.volumes[0];
+    assert_eq!(
+        water.extents.iter().map(|e| (e.first, e.node, e.node_first)).collect::<Vec<_>>(),
+        [(0, 0, 64), (1024, 1, 0)]
+    );
+    assert_eq!(
+        (water.rules[1].direction, water.rules[1].last, water.rules[1].key),
+        (Direction::Write, 99, 8)
+    );
+    assert_eq!((site.fleet.cold_from, site.fleet.fall_span), (0.23, 3_000_000));
+    assert!(site.host.header_digest && site.host.data_digest);
+    assert_eq!(site.nodes.iter().map(|n| n.shard).collect::<Vec<_>>(), [0, 1]);
+}
+
+/// A change to the sound file, and the problems it makes: line of the change, or of what it concerns.
+fn problems(from: &str, to: &str) -> Vec<String> {
+    assert!(SOUND.contains(from), "{from}");
+    let problems = read("f", &SOUND.replacen(from, to, 1)).expect_err(to);
+    problems.to_string().lines().map(str::to_owned).collect()
+}
+
+#[test]
+fn each_problem_names_line_column_and_what_was_expected() {
+    for (from, to, wanted) in [
+        ("window 32", "window 0", "f:8:12: expected 1 to 1024, found `0`"),
+        ("window 32", "windows 32", "f:8:5: expected a directive of section `host` (listen"),
+        ("window 32", "window 32 33", "f:8:15: expected the end of the line, found `33`"),
+        ("window 32", "window", "f:8:11: expected 1 to 1024, found the end of the line"),
+        ("    window 32\n", "", "f:3:1: expected `window` in this section, found none"),
+        ("    hosts 3\n    unit", "    unit", "f:12:1: expected `hosts` in this section"),
+        ("goal 0.2s", "goal 200", "f:28:10: expected a duration such as 200ms, found `200`"),
+        ("goal 0.2s", "goal 5s", "f:26:1: expected a goal no longer than the hard limit"),
+        ("plan basic\n    blocks", "plan bsic\n    blocks", "f:38:10: expected the name of a plan in this"),
+        ("brick2 at 0", "brick9 at 0", "f:42:22: expected the name of a node in this file, found `brick9`"),
+        ("extent 1024 1024", "extent 1000 1024", "f:42:22: expected an extent from block 1024 on"),
+        ("blocks 2048", "blocks 4096", "f:36:1: expected extents of 4096 blocks in all, found 2048"),
+        ("brick2 at 0", "brick1 at 1000", "f:42:22: expected blocks of the node that no other extent uses"),
+        (" key 8", "", "f:45:10: expected `key BLOCKS`, since the group is ordered"),
+        ("blocks 0-99", "blocks 9-2", "f:45:23: expected FIRST-LAST, found `9-2`"),
+        ("    rule write lookup\n", "", "f:36:1: expected a rule for every write"),
+        ("node brick2", "node brick1", "f:50:1: expected a node other than that of line 47"),
+        ("fleet\n", "fleets\n", "f:12:1: expected a section: host, fleet"),
+        ("limit 40/s burst 16", "limit 40/s", "f:25:15: expected burst UNITS"),
+        ("\"/run/mallow seam/gw1.sock\"", "\"/run", "f:6:13: expected a closing quote"),
+        ("digests header data", "digests header full", "f:11:20: expected header, data or none"),
+        ("    gain 3", "    gain 3\n    gain 4", "f:31:5: expected `gain` once in the section of line 26"),
+        ("unit 4KiB", "unit 0.3B", "f:14:10: expected a size such as 4KiB, found `0.3B`"),
+    ] {
+        let found = problems(from, to);
+        assert!(found.iter().any(|f| f.starts_with(wanted)), "{to}: {found:#?}");
+    }
+}
+
+#[test]
+fn all_problems_come_at_once_in_order_of_their_lines() {
+    let text = SOUND.replace("window 32", "window x").replace("hosts 3\n    unit", "hosts 0\n    unit");
+    let text = text.replace("zone b", "zone b c");
+    let lines: Vec<usize> = read("f", &text).expect_err("three").list.iter().map(|p| p.line).collect();
+    assert_eq!(lines, [8, 13, 53]);
+}
+
+#[test]
+fn an_empty_file_names_every_section_it_lacks() {
+    assert_eq!(read("f", "").expect_err("empty").list.len(), 6);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Cut or garbled anywhere, a file is read or refused, and never taken for something else in silence.
+    #[test]
+    fn a_garbled_file_is_refused_or_sound(at in 0..SOUND.len(), len in 0usize..30, put in "[ -~\n]{0,12}") {
+        let mut text = SOUND.as_bytes().to_vec();
+        let end = (at + len).min(text.len());
+        text.splice(at..end, put.bytes());
+        if let Err(problems) = read("f", &String::from_utf8_lossy(&text)) {
+            prop_assert!(problems.list.iter().all(|p| p.line > 0 && p.column > 0 && !p.expected.is_empty()));
+        }
+    }
+}
