--- a/crates/conduct/src/door.rs
+++ b/crates/conduct/src/door.rs
@@ -245,6 +245,15 @@
         self.state != State::Open
     }
 
+    /// Whether new commands are taken. A closing host still takes them while clients have their time to log
+    /// out; later ones would keep it from ever closing.
+    pub fn takes(&self, now: Millis) -> bool {
+        match self.state {
+            State::Open => true,
+            State::Draining(since) => now < since + LEAVE_WITHIN,
+        }
+    }
+
     /// Seconds that clients are told to log out within.
     pub fn leave_within(&self) -> u16 {
         (LEAVE_WITHIN / 1000) as u16
@@ -350,7 +359,9 @@
         assert_eq!(door.care(1, 101, IDLE), Care::End(Why::NoLogin));
         assert_eq!(door.care(0, 100 + LEAVE_WITHIN, BUSY), Care::Nothing);
         assert_eq!(door.care(0, 100 + LEAVE_WITHIN, IDLE), Care::End(Why::Drained));
+        assert!(door.takes(99 + LEAVE_WITHIN) && !door.takes(100 + LEAVE_WITHIN));
         door.undrain();
+        assert!(door.takes(100 + LEAVE_WITHIN));
         assert_eq!(door.care(0, 100 + LEAVE_WITHIN, IDLE), Care::Nothing);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/cli.rs
@@ -0,0 +1,153 @@
+//! The command line of `mallowseam`.
+use crate::control::{self, Status};
+use clap::{Parser, Subcommand, ValueEnum};
+use mallowseam_settings::Site;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit codes: 0 done, 1 could not be done, 2 a bad command line (clap's own) or configuration.
+const FAILED: u8 = 1;
+const BAD_FILE: u8 = 2;
+
+#[derive(Parser)]
+#[command(name = "mallowseam", version, about = "A storage gateway for small sites", max_term_width = 100)]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Run this host in the foreground until SIGTERM or SIGINT; a second one ends it at once
+    Run {
+        /// The configuration file
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "info")]
+        log: Level,
+        /// Log lines as JSON objects
+        #[arg(long)]
+        json: bool,
+    },
+    /// Read a configuration and name all its problems
+    Check { file: PathBuf },
+    /// Tell what a running host is doing
+    Status {
+        #[command(flatten)]
+        at: At,
+        /// As one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Close a running host to new logins; what is in hand ends
+    Drain {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Open it again
+    Undrain {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Drain a running host and end it
+    Stop {
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+#[derive(clap::Args)]
+#[group(required = true, multiple = false)]
+struct At {
+    /// The host's configuration file, which names its control socket
+    file: Option<PathBuf>,
+    /// The control socket itself
+    #[arg(long)]
+    control: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Level {
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+/// Runs the program with these arguments, the first being its name.
+pub fn main(args: impl Iterator<Item = OsString>) -> ExitCode {
+    let line = match Line::try_parse_from(args) {
+        Ok(line) => line,
+        Err(e) => e.exit(),
+    };
+    let done = match line.what {
+        What::Run { file, log, json } => {
+            start_log(log, json);
+            load(&file).and_then(|site| crate::run(site).map_err(|e| (FAILED, e.to_string())))
+        }
+        What::Check { file } => load(&file).map(|site| {
+            println!(
+                "{}: sound; host {}, {} volumes on {} nodes, {} plans, {} groups",
+                file.display(),
+                site.host.name,
+                site.volumes.len(),
+                site.nodes.len(),
+                site.plans.len(),
+                site.groups.len()
+            );
+        }),
+        What::Status { at, json } => tell(&at, "status").and_then(|text| {
+            if json {
+                println!("{text}");
+                return Ok(());
+            }
+            let status: Status =
+                serde_json::from_str(&text).map_err(|e| (FAILED, format!("the host's answer: {e}")))?;
+            print!("{status}");
+            Ok(())
+        }),
+        What::Drain { at } => tell(&at, "drain").map(|text| println!("{text}")),
+        What::Undrain { at } => tell(&at, "undrain").map(|text| println!("{text}")),
+        What::Stop { at } => tell(&at, "stop").map(|text| println!("{text}")),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err((code, text)) => {
+            eprintln!("{text}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+fn load(file: &Path) -> Result<Site, (u8, String)> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| (BAD_FILE, format!("{name}: {e}")))?;
+    mallowseam_settings::read(&name, &text).map_err(|problems| (BAD_FILE, problems.to_string()))
+}
+
+fn tell(at: &At, what: &str) -> Result<String, (u8, String)> {
+    let path = match (&at.control, &at.file) {
+        (Some(path), _) => path.clone(),
+        (None, Some(file)) => load(file)?
+            .host
+            .control
+            .ok_or_else(|| (BAD_FILE, format!("{}: no `control` in section host", file.display())))?,
+        (None, None) => unreachable!("clap asks for one of them"),
+    };
+    control::ask(&path, what).map_err(|e| (FAILED, format!("{}: {e}", path.display())))
+}
+
+fn start_log(level: Level, json: bool) {
+    let level = match level {
+        Level::Error => tracing::Level::ERROR,
+        Level::Warn => tracing::Level::WARN,
+        Level::Info => tracing::Level::INFO,
+        Level::Debug => tracing::Level::DEBUG,
+    };
+    let log = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_target(false);
+    if json {
+        log.json().init();
+    } else {
+        log.with_ansi(false).init();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,241 @@
+//! Connections of clients.
+use crate::clock::millis;
+use crate::slots::Slots;
+use crate::wire::{self, Tried};
+use mallowseam_conduct::door::{Care, Door, Shut, Standing};
+use mallowseam_iscsi::login::{Admit, Refusal, Who};
+use mallowseam_iscsi::target::{Came, TargetConn, TargetTerms};
+use mallowseam_scheduler::host::Tick;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub struct Client {
+    socket: TcpStream,
+    pub peer: SocketAddr,
+    pub name: String,
+    conn: TargetConn,
+    dirty: bool,
+    readable: bool,
+    /// Commands in hand: their places at the desk, by task.
+    pub commands: Vec<(u32, u32)>,
+}
+
+pub struct Clients {
+    pub all: Slots<Client>,
+    pub door: Door,
+    terms: Rc<TargetTerms>,
+    registry: Registry,
+    first_token: usize,
+    dirty: Vec<u32>,
+    closed: Vec<(u32, Vec<(u32, u32)>)>,
+    /// Connections that another one has taken over.
+    replaced: Vec<u32>,
+}
+
+/// Hands a login to the door.
+struct Doorman<'a> {
+    door: &'a mut Door,
+    at: usize,
+    replaced: &'a mut Vec<u32>,
+}
+
+impl Admit for Doorman<'_> {
+    fn admit(&mut self, who: &Who) -> Result<u16, Refusal> {
+        let entry = self.door.login(self.at, &who.initiator, who.target.as_deref(), who.isid, who.tsih);
+        let entry = entry.map_err(|shut| match shut {
+            Shut::NoSuchTarget => Refusal::NOT_FOUND,
+            Shut::NoSession => Refusal::NO_SESSION,
+            Shut::Draining => Refusal::UNAVAILABLE,
+            Shut::Full => Refusal::OUT_OF_RESOURCES,
+        })?;
+        self.replaced.extend(entry.replaces.map(|at| at as u32));
+        Ok(entry.handle)
+    }
+}
+
+impl Clients {
+    pub fn new(door: Door, terms: Rc<TargetTerms>, registry: Registry, first: usize) -> Self {
+        Clients {
+            all: Slots::default(),
+            door,
+            terms,
+            registry,
+            first_token: first,
+            dirty: Vec::new(),
+            closed: Vec::new(),
+            replaced: Vec::new(),
+        }
+    }
+
+    pub fn accept(&mut self, mut socket: TcpStream, peer: SocketAddr, now: Tick) {
+        let _ = socket.set_nodelay(true);
+        let conn = TargetConn::new(Rc::clone(&self.terms));
+        let at = self.all.next();
+        if !self.door.opened(at as usize, millis(now)) {
+            tracing::warn!(%peer, "connection turned away: no room");
+            return;
+        }
+        let token = Token(self.first_token + at as usize);
+        if let Err(e) = self.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE) {
+            tracing::warn!(%peer, error = %e, "connection turned away");
+            self.door.closed(at as usize);
+            return;
+        }
+        let client = Client {
+            socket,
+            peer,
+            name: String::new(),
+            conn,
+            dirty: false,
+            readable: false,
+            commands: Vec::new(),
+        };
+        self.all.put(client);
+        tracing::debug!(%peer, client = at, "connection opened");
+    }
+
+    /// The socket has something to say. True: there may be more to read.
+    pub fn ready(&mut self, at: u32, readable: bool, scratch: &mut [u8], now: Tick) -> bool {
+        if let Some(client) = self.all.get_mut(at) {
+            client.readable |= readable;
+            self.mark(at);
+        }
+        self.read(at, scratch, now)
+    }
+
+    pub fn read(&mut self, at: u32, scratch: &mut [u8], now: Tick) -> bool {
+        let Some(client) = self.all.get_mut(at) else { return false };
+        let waiting = client.conn.out().waiting().len();
+        if !client.readable || !self.door.reads(waiting) {
+            return false;
+        }
+        match wire::read(&mut client.socket, scratch) {
+            Tried::Blocked => client.readable = false,
+            Tried::Read(n) => {
+                self.door.heard(at as usize, millis(now));
+                let mut doorman =
+                    Doorman { door: &mut self.door, at: at as usize, replaced: &mut self.replaced };
+                let received = client.conn.receive(&scratch[..n], &mut doorman);
+                self.mark(at);
+                match received {
+                    Ok(()) => return true,
+                    Err(fault) => {
+                        self.flush_one(at, now);
+                        self.close(at, &fault.0);
+                    }
+                }
+            }
+            Tried::Over(why) => self.close(at, &why),
+        }
+        false
+    }
+
+    pub fn came(&mut self, at: u32) -> Option<Came> {
+        self.all.get_mut(at)?.conn.came()
+    }
+
+    /// The connection to answer on; what is put there is written at the end of the round.
+    pub fn answer(&mut self, at: u32) -> Option<&mut TargetConn> {
+        self.mark(at);
+        self.all.get_mut(at).map(|c| &mut c.conn)
+    }
+
+    fn mark(&mut self, at: u32) {
+        if let Some(client) = self.all.get_mut(at)
+            && !std::mem::replace(&mut client.dirty, true)
+        {
+            self.dirty.push(at);
+        }
+    }
+
+    fn flush_one(&mut self, at: u32, now: Tick) {
+        let Some(client) = self.all.get_mut(at) else { return };
+        client.dirty = false;
+        match wire::write(&mut client.socket, client.conn.out()) {
+            Ok(0) => {}
+            Ok(_) => self.door.wrote(at as usize, millis(now)),
+            Err(why) => return self.close(at, &why),
+        }
+        if client.conn.closing() && client.conn.out().waiting().is_empty() {
+            self.close(at, "logged out");
+        }
+    }
+
+    /// Writes what waits. Clients that have taken enough to be read from again are put in `again`.
+    pub fn flush(&mut self, now: Tick, again: &mut Vec<u32>) {
+        while let Some(at) = self.dirty.pop() {
+            self.flush_one(at, now);
+            if let Some(client) = self.all.get_mut(at)
+                && client.readable
+                && self.door.reads(client.conn.out().waiting().len())
+            {
+                again.push(at);
+            }
+        }
+    }
+
+    pub fn close(&mut self, at: u32, why: &str) {
+        if let Some(mut client) = self.all.take(at) {
+            let _ = self.registry.deregister(&mut client.socket);
+            self.door.closed(at as usize);
+            tracing::info!(peer = %client.peer, name = client.name, why, "client connection closed");
+            self.closed.push((at, client.commands));
+        }
+    }
+
+    /// Connections taken over by a new login are closed.
+    pub fn close_replaced(&mut self) {
+        while let Some(at) = self.replaced.pop() {
+            self.close(at, "the same client has logged in again");
+        }
+    }
+
+    /// Commands that were in hand on a connection that has closed.
+    pub fn left(&mut self) -> Option<Vec<(u32, u32)>> {
+        self.closed.pop().map(|c| c.1)
+    }
+
+    pub fn is_quiet(&self) -> bool {
+        self.closed.is_empty()
+    }
+
+    pub fn care(&mut self, now: Tick) {
+        for at in self.all.indices() {
+            let Some(client) = self.all.get_mut(at) else { continue };
+            let standing = Standing {
+                midway: client.conn.midway(),
+                waiting: client.conn.out().waiting().len(),
+                in_hand: client.conn.in_hand(),
+            };
+            match self.door.care(at as usize, millis(now), standing) {
+                Care::Nothing => {}
+                Care::Ping => {
+                    client.conn.ping();
+                    self.mark(at);
+                }
+                Care::End(why) => self.close(at, why.words()),
+            }
+        }
+    }
+
+    /// Closes the door and asks every client to log out.
+    pub fn drain(&mut self, now: Tick) -> bool {
+        if !self.door.drain(millis(now)) {
+            return false;
+        }
+        let within = self.door.leave_within();
+        for at in self.all.indices() {
+            if let Some(client) = self.all.get_mut(at).filter(|c| c.conn.logged_in()) {
+                client.conn.ask_logout(within);
+                self.mark(at);
+            }
+        }
+        true
+    }
+
+    pub fn held(&self) -> usize {
+        self.all.iter().map(|(_, c)| c.conn.held()).sum()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,611 @@
+//! The block I/Os in hand: what came from which client, what is out at which node. Carries out what the
+//! scheduler decides; what comes of it is told to the scheduler once its call is over.
+use crate::clients::Clients;
+use crate::clock::{down, up};
+use crate::figures::{Figures, GroupFigures, NodeFigures};
+use crate::nodes::{self, Nodes, Order};
+use crate::slots::Slots;
+use crate::terms::layout;
+use mallowseam_conduct::parts::{End, Layout, Part, Whole};
+use mallowseam_iscsi::initiator::Payload;
+use mallowseam_iscsi::scsi::{self, Command as Scsi, Sense, Unit, status};
+use mallowseam_iscsi::target::Came;
+use mallowseam_scheduler::door::Door;
+use mallowseam_scheduler::host::*;
+use mallowseam_scheduler::scheduler::Scheduler;
+use mallowseam_settings::Site;
+use mallowseam_settings::site;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+/// A tag on the way to a node: the block I/O's place in the lower bits, above them which submit of that place
+/// it is, so that an answer finds no later one.
+const PLACE_BITS: u32 = 20;
+const PLACES: usize = 1 << PLACE_BITS;
+const NONE: u32 = u32::MAX;
+/// Ticks in the tenth of a second in which a time to come back is told (RFC 7144).
+const COME_BACK: Tick = 1_000;
+
+struct Volume {
+    name: String,
+    plan: u16,
+    lun: u16,
+    blocks: u64,
+    block_size: u32,
+    hosts: u32,
+    layout: Layout,
+}
+
+struct Group {
+    hard_limit: Tick,
+    goal: Tick,
+    side_effecting: bool,
+}
+
+/// A client's command.
+struct Command {
+    client: u32,
+    task: u32,
+    whole: Whole,
+    /// Its block I/Os: the first of a chain, and how many still have a place.
+    first: u32,
+    alive: u32,
+    write: bool,
+    /// The client's group number, handed on to the nodes.
+    mark: u8,
+    block_size: usize,
+    data: Payload,
+    read: Vec<u8>,
+}
+
+struct Out {
+    node: u32,
+    tag: u32,
+    sent: Tick,
+}
+
+/// One block I/O.
+struct Io {
+    command: u32,
+    next: u32,
+    part: Part,
+    taken: Tick,
+    handed: bool,
+    submits: u32,
+    out: Option<Out>,
+    answered: bool,
+}
+
+pub struct Desk {
+    pub now: Tick,
+    pub clients: Clients,
+    pub nodes: Nodes,
+    pub figures: Figures,
+    pub wake_at: Option<Tick>,
+    pub wants_list: bool,
+    volumes: Vec<Volume>,
+    groups: Vec<Group>,
+    unit: u64,
+    longest: u64,
+    ios: Slots<Io>,
+    turns: Vec<u32>,
+    commands: Slots<Command>,
+    keys: Door<(u32, u64)>,
+    timers: BinaryHeap<Reverse<(Tick, u32)>>,
+    ended: VecDeque<(BioId, Outcome)>,
+    gone: VecDeque<BioId>,
+    parts: Vec<Part>,
+}
+
+impl Desk {
+    pub fn new(site: &Site, clients: Clients, nodes: Nodes) -> Self {
+        let volume = |v: &site::Volume| Volume {
+            name: v.name.clone(),
+            plan: v.plan as u16,
+            lun: v.lun,
+            blocks: v.blocks,
+            block_size: v.block_size,
+            hosts: v.hosts,
+            layout: layout(site, v),
+        };
+        let group = |g: &site::Group| Group {
+            hard_limit: down(g.hard_limit),
+            goal: up(g.goal),
+            side_effecting: g.effect == site::Effect::SideEffecting,
+        };
+        Desk {
+            now: 0,
+            clients,
+            nodes,
+            figures: Figures {
+                groups: site.groups.iter().map(|_| GroupFigures::default()).collect(),
+                nodes: vec![NodeFigures::default(); site.nodes.len()],
+                ..Figures::default()
+            },
+            wake_at: None,
+            wants_list: false,
+            volumes: site.volumes.iter().map(volume).collect(),
+            groups: site.groups.iter().map(group).collect(),
+            unit: site.fleet.unit,
+            longest: site.host.longest,
+            ios: Slots::default(),
+            turns: Vec::new(),
+            commands: Slots::default(),
+            keys: Door::default(),
+            timers: BinaryHeap::new(),
+            ended: VecDeque::new(),
+            gone: VecDeque::new(),
+            parts: Vec::new(),
+        }
+    }
+
+    /// Block I/Os in hand.
+    pub fn in_hand(&self) -> usize {
+        self.ios.len()
+    }
+
+    /// When the next submit runs out of time.
+    pub fn next_timer(&self) -> Option<Tick> {
+        self.timers.peek().map(|t| t.0.0)
+    }
+
+    /// Takes what came from a client.
+    pub fn came(&mut self, scheduler: &mut Scheduler, client: u32, came: Came) {
+        match came {
+            Came::LoggedIn(who) => {
+                if let Some(c) = self.clients.all.get_mut(client) {
+                    c.name = who.initiator;
+                    tracing::info!(peer = %c.peer, name = c.name, "client logged in");
+                }
+                self.clients.close_replaced();
+            }
+            Came::Command { task, lun, cdb, room, data } => {
+                self.command(scheduler, client, task, lun, &cdb, room, data);
+            }
+            Came::Aborted { task } => {
+                let Some(c) = self.clients.all.get_mut(client) else { return };
+                let Some(at) = c.commands.iter().position(|t| t.0 == task) else { return };
+                let (_, command) = c.commands.swap_remove(at);
+                self.leave(command);
+            }
+            Came::Logout | Came::Alive => {}
+        }
+    }
+
+    /// The client of a command is not there for an answer any more.
+    fn leave(&mut self, at: u32) {
+        let Some(command) = self.commands.get_mut(at).filter(|c| !c.whole.answered()) else { return };
+        command.whole.gone();
+        command.client = NONE;
+        self.figures.commands.left += 1;
+        self.let_go(at);
+    }
+
+    /// The block I/Os of a command that is answered are of no more use.
+    fn let_go(&mut self, at: u32) {
+        let mut next = self.commands.get(at).map_or(NONE, |c| c.first);
+        while let Some(io) = self.ios.get_mut(next).filter(|io| io.command == at) {
+            if io.handed && !io.answered {
+                io.answered = true;
+                self.gone.push_back(BioId(next));
+            }
+            next = io.next;
+        }
+    }
+
+    /// Tells the scheduler what has come of its submits, until nothing is left to tell.
+    pub fn settle(&mut self, scheduler: &mut Scheduler) {
+        let now = self.now;
+        loop {
+            while let Some(commands) = self.clients.left() {
+                for (_, command) in commands {
+                    self.leave(command);
+                }
+            }
+            if let Some((node, result)) = self.nodes.ended() {
+                self.submit_ended(node, result);
+            }
+            if let Some((id, outcome)) = self.ended.pop_front() {
+                scheduler.ended(self, now, id, &outcome);
+            } else if let Some(id) = self.gone.pop_front() {
+                if self.ios.get(id.0).is_some() {
+                    scheduler.gone(self, now, id);
+                }
+            } else if self.nodes.is_quiet() && self.clients.is_quiet() {
+                return;
+            }
+        }
+    }
+
+    fn submit_ended(&mut self, node: usize, result: nodes::Result) {
+        let at = result.tag & (PLACES as u32 - 1);
+        let Some(io) = self.ios.get_mut(at) else { return };
+        if io.out.as_ref().is_none_or(|o| o.tag != result.tag) {
+            return;
+        }
+        let command = self.commands.get_mut(io.command).expect("a block I/O has its command");
+        let mut ending = result.ending;
+        let bytes = io.part.blocks as usize * command.block_size;
+        if ending == Ending::Done && !command.write && result.data.len() != bytes {
+            tracing::warn!(
+                node = self.nodes.all[node].name,
+                bytes,
+                came = result.data.len(),
+                "read came back short"
+            );
+            ending = Ending::Error;
+        }
+        if ending == Ending::Done && !io.answered {
+            io.answered = true;
+            let figures = &mut self.figures.groups[io.part.group as usize];
+            figures.answers.ended += 1;
+            let wait = self.now - io.taken;
+            figures.late += u64::from(wait > self.groups[io.part.group as usize].goal);
+            figures.waits.saturating_record(wait.max(0) as u64 * 100);
+            let (from, at) = (io.part.from as usize * command.block_size, io.command);
+            let mut data = result.data;
+            if !command.write && !command.read.is_empty() {
+                command.read[from..from + bytes].copy_from_slice(&data);
+                data = Vec::new();
+            }
+            self.part_over(at, End::Ended, &data);
+        }
+        self.tell(at, ending);
+    }
+
+    /// A submit is over: its outcome is told to the scheduler after the present call.
+    fn tell(&mut self, at: u32, ending: Ending) {
+        let Some(io) = self.ios.get_mut(at) else { return };
+        let Some(out) = io.out.take() else { return };
+        self.figures.nodes[out.node as usize].count(ending);
+        if self.groups[io.part.group as usize].side_effecting
+            && matches!(ending, Ending::Busy | Ending::NoConnect | Ending::Moot)
+            && let Some(command) = self.commands.get_mut(io.command)
+        {
+            command.whole.not_run();
+        }
+        let outcome = Outcome {
+            ending,
+            node: NodeId(out.node),
+            closed: io.answered,
+            wait: self.now - out.sent,
+            by_others: 0.0,
+            used: 0.0,
+            report: Report::default(),
+        };
+        self.ended.push_back((BioId(at), outcome));
+    }
+
+    /// Submits out of time are given up.
+    pub fn run_timers(&mut self) {
+        while let Some(&Reverse((at, tag))) = self.timers.peek() {
+            if at > self.now {
+                break;
+            }
+            self.timers.pop();
+            let place = tag & (PLACES as u32 - 1);
+            let Some(out) = self.ios.get(place).and_then(|io| io.out.as_ref()) else { continue };
+            if out.tag == tag {
+                let early = self.nodes.give_up(out.node as usize, tag, self.now);
+                self.tell(place, if early { Ending::NoConnect } else { Ending::TimedOut });
+            }
+        }
+        // Most submits end long before their time is up: what is left of them here is cleared out.
+        if self.timers.len() > 64 + 4 * self.ios.len() {
+            let ios = &self.ios;
+            let live = |t: &Reverse<(Tick, u32)>| {
+                let out = ios.get(t.0.1 & (PLACES as u32 - 1)).and_then(|io| io.out.as_ref());
+                out.is_some_and(|o| o.tag == t.0.1)
+            };
+            self.timers.retain(live);
+        }
+    }
+
+    /// A part of a command is over; the client gets its answer if this decides it.
+    fn part_over(&mut self, at: u32, end: End, data: &[u8]) {
+        let Some(command) = self.commands.get_mut(at) else { return };
+        let Some(answer) = command.whole.over(end) else { return };
+        let (client, task) = (command.client, command.task);
+        let read = std::mem::take(&mut command.read);
+        let counts = &mut self.figures.commands;
+        match answer {
+            End::Ended => counts.ended += 1,
+            End::Shed(_) => counts.shed += 1,
+            End::Failed => counts.failed += 1,
+        }
+        if let Some(c) = self.clients.all.get_mut(client) {
+            c.commands.retain(|t| t.0 != task);
+        }
+        if let Some(conn) = self.clients.answer(client) {
+            match answer {
+                End::Ended if read.is_empty() => conn.good(task, data),
+                End::Ended => conn.good(task, &read),
+                End::Shed(after) => {
+                    let tenths = (after + COME_BACK - 1) / COME_BACK;
+                    conn.other(task, status::BUSY, None, tenths.clamp(0, 0x3fef) as u16);
+                }
+                End::Failed => {
+                    conn.other(task, status::CHECK_CONDITION, Some(Sense::UNKNOWN_OUTCOME), 0);
+                }
+            }
+        }
+        if answer != End::Ended {
+            self.let_go(at);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn command(
+        &mut self,
+        scheduler: &mut Scheduler,
+        client: u32,
+        task: u32,
+        lun: Option<u16>,
+        cdb: &[u8; 16],
+        room: usize,
+        data: Vec<u8>,
+    ) {
+        let scsi = scsi::read_cdb(cdb);
+        let vol = lun.and_then(|lun| self.volumes.iter().position(|v| v.lun == lun));
+        let (write, lba, blocks, mark) = match scsi {
+            Ok(Scsi::Read { lba, blocks, group }) => (false, lba, blocks, group),
+            Ok(Scsi::Write { lba, blocks, group }) => (true, lba, blocks, group),
+            scsi => return self.own(client, task, vol, scsi),
+        };
+        let Some(vol) = vol else { return self.refuse(client, task, Sense::NO_SUCH_LUN) };
+        let volume = &self.volumes[vol];
+        let block_size = volume.block_size as usize;
+        let bytes = u64::from(blocks) * block_size as u64;
+        if lba.checked_add(blocks.into()).is_none_or(|end| end > volume.blocks) {
+            return self.refuse(client, task, Sense::OUT_OF_RANGE);
+        }
+        if bytes > self.longest || write && data.len() as u64 != bytes || !write && (room as u64) < bytes {
+            return self.refuse(client, task, Sense::INVALID_FIELD);
+        }
+        if blocks == 0 {
+            return self.good(client, task, &[]);
+        }
+        let mut parts = std::mem::take(&mut self.parts);
+        if !volume.layout.cut(write, lba, blocks, &mut parts) {
+            self.parts = parts;
+            return self.refuse(client, task, Sense::OUT_OF_RANGE);
+        }
+        if !self.clients.door.takes(crate::clock::millis(self.now)) || self.ios.len() + parts.len() > PLACES {
+            // Never taken, so trying again is harmless.
+            self.parts = parts;
+            if let Some(conn) = self.clients.answer(client) {
+                conn.other(task, status::TASK_SET_FULL, None, 0);
+            }
+            return;
+        }
+        self.figures.commands.taken += 1;
+        let read = if !write && parts.len() > 1 { vec![0; bytes as usize] } else { Vec::new() };
+        let command = self.commands.put(Command {
+            client,
+            task,
+            whole: Whole::of(parts.len() as u32),
+            first: NONE,
+            alive: parts.len() as u32,
+            write,
+            mark,
+            block_size,
+            data: data.into(),
+            read,
+        });
+        if let Some(c) = self.clients.all.get_mut(client) {
+            c.commands.push((task, command));
+        }
+        let mut first = NONE;
+        for part in parts.iter().rev() {
+            first = self.ios.put(Io {
+                command,
+                next: first,
+                part: *part,
+                taken: self.now,
+                handed: false,
+                submits: 0,
+                out: None,
+                answered: false,
+            });
+        }
+        self.commands.get_mut(command).expect("just put").first = first;
+        self.parts = parts;
+        let mut next = first;
+        while let Some(io) = self.ios.get_mut(next) {
+            let (at, part) = (next, io.part);
+            next = io.next;
+            if self.commands.get(command).is_some_and(|c| c.whole.answered()) {
+                // An earlier part has decided the answer: the scheduler never hears of this one.
+                self.forget(at);
+                continue;
+            }
+            io.handed = true;
+            let volume = &self.volumes[vol];
+            let key = part.key.map(|key| KeyId(self.keys.enter(&(vol as u32, key))));
+            let bytes = u64::from(part.blocks) * u64::from(volume.block_size);
+            let bio = Bio {
+                id: BioId(at),
+                group: part.group,
+                plan: volume.plan,
+                vol: VolId(vol as u32),
+                key,
+                hard_limit: self.now + self.groups[part.group as usize].hard_limit,
+                units: bytes.div_ceil(self.unit) as f64,
+                shard: Some(part.shard),
+                hosts: volume.hosts,
+            };
+            self.figures.groups[part.group as usize].answers.taken += 1;
+            let now = self.now;
+            scheduler.take(self, now, bio);
+        }
+    }
+
+    /// A block I/O gives back its place, and its command with the last one.
+    fn forget(&mut self, at: u32) {
+        let Some(io) = self.ios.take(at) else { return };
+        if let Some(command) = self.commands.get_mut(io.command) {
+            command.alive -= 1;
+            if command.alive == 0 {
+                self.commands.take(io.command);
+            }
+        }
+    }
+
+    /// What the host answers itself.
+    fn own(&mut self, client: u32, task: u32, vol: Option<usize>, scsi: std::result::Result<Scsi, Sense>) {
+        let scsi = match scsi {
+            Ok(scsi) => scsi,
+            Err(sense) => return self.refuse(client, task, sense),
+        };
+        let cut = |mut data: Vec<u8>, room: usize| {
+            data.truncate(room);
+            data
+        };
+        match scsi {
+            Scsi::ReportLuns { select, room } => {
+                let data = scsi::report_luns(self.volumes.iter().map(|v| v.lun), select);
+                return self.good(client, task, &cut(data, room));
+            }
+            Scsi::RequestSense { room } => {
+                let sense = if vol.is_some() { Sense(0, 0, 0) } else { Sense::NO_SUCH_LUN };
+                return self.good(client, task, &cut(sense.bytes().to_vec(), room));
+            }
+            Scsi::Inquiry { page: None, room } if vol.is_none() => {
+                // No unit at this number (SPC-4, 6.4.2): qualifier 3, type 1Fh.
+                let mut data = vec![0x7f, 0, 6, 2, 31];
+                data.resize(36, 0);
+                return self.good(client, task, &cut(data, room));
+            }
+            _ => {}
+        }
+        let Some(volume) = vol.map(|v| &self.volumes[v]) else {
+            return self.refuse(client, task, Sense::NO_SUCH_LUN);
+        };
+        let unit = Unit {
+            blocks: volume.blocks,
+            block_size: volume.block_size,
+            product: &volume.name,
+            serial: &volume.name,
+            most: (self.longest / u64::from(volume.block_size)).min(u64::from(u32::MAX)) as u32,
+        };
+        let data = match scsi {
+            Scsi::TestUnitReady => Some(Vec::new()),
+            // Writes are answered when a node has them: nothing is cached here.
+            Scsi::SynchronizeCache { lba, blocks } => {
+                let end = lba.checked_add(blocks.into());
+                if end.is_none_or(|end| end > volume.blocks) {
+                    return self.refuse(client, task, Sense::OUT_OF_RANGE);
+                }
+                Some(Vec::new())
+            }
+            Scsi::Inquiry { page, room } => unit.inquiry(page).map(|d| cut(d, room)),
+            Scsi::ReadCapacity10 => Some(unit.capacity10()),
+            Scsi::ReadCapacity16 { room } => Some(cut(unit.capacity16(), room)),
+            Scsi::ModeSense { ten, page, room } => unit.mode(ten, page).map(|d| cut(d, room)),
+            Scsi::Read { .. } | Scsi::Write { .. } | Scsi::ReportLuns { .. } | Scsi::RequestSense { .. } => {
+                None
+            }
+        };
+        match data {
+            Some(data) => self.good(client, task, &data),
+            None => self.refuse(client, task, Sense::INVALID_FIELD),
+        }
+    }
+
+    fn good(&mut self, client: u32, task: u32, data: &[u8]) {
+        if let Some(conn) = self.clients.answer(client) {
+            conn.good(task, data);
+        }
+    }
+
+    fn refuse(&mut self, client: u32, task: u32, sense: Sense) {
+        if let Some(conn) = self.clients.answer(client) {
+            conn.other(task, status::CHECK_CONDITION, Some(sense), 0);
+        }
+    }
+
+    fn give_up(&mut self, bio: BioId, end: End) {
+        let Some(io) = self.ios.get_mut(bio.0).filter(|io| !io.answered) else { return };
+        io.answered = true;
+        let answers = &mut self.figures.groups[io.part.group as usize].answers;
+        match end {
+            End::Shed(_) => answers.shed += 1,
+            _ => answers.failed += 1,
+        }
+        let command = io.command;
+        self.part_over(command, end, &[]);
+    }
+}
+
+impl Host for Desk {
+    fn submit(&mut self, bio: BioId, node: NodeId, limit: Tick) {
+        let io = self.ios.get_mut(bio.0).expect("in hand");
+        if self.turns.len() <= bio.0 as usize {
+            self.turns.resize(bio.0 as usize + 1, 0);
+        }
+        let turn = &mut self.turns[bio.0 as usize];
+        *turn = (*turn + 1) & ((1 << (32 - PLACE_BITS)) - 1);
+        let tag = *turn << PLACE_BITS | bio.0;
+        io.submits += 1;
+        io.out = Some(Out { node: node.0, tag, sent: self.now });
+        let part = io.part;
+        let command = self.commands.get_mut(io.command).expect("a block I/O has its command");
+        if self.groups[part.group as usize].side_effecting {
+            command.whole.sent();
+        }
+        let (from, len) =
+            (part.from as usize * command.block_size, part.blocks as usize * command.block_size);
+        let order = Order {
+            tag,
+            cdb: scsi::rw16(command.write, part.node_lba, part.blocks, command.mark),
+            room: if command.write { 0 } else { len },
+            data: if command.write { command.data.piece(from, len) } else { Payload::default() },
+        };
+        self.figures.nodes[node.0 as usize].submits += 1;
+        self.timers.push(Reverse((self.now + limit.max(0), tag)));
+        self.nodes.submit(node.0 as usize, order, self.now);
+    }
+
+    fn cancel(&mut self, bio: BioId, nth: u32) {
+        let Some(io) = self.ios.get(bio.0).filter(|io| io.submits == nth + 1) else { return };
+        let Some(out) = &io.out else { return };
+        let early = self.nodes.give_up(out.node as usize, out.tag, self.now);
+        self.tell(bio.0, if early { Ending::Moot } else { Ending::Cancelled });
+    }
+
+    fn shed(&mut self, bio: BioId, come_back: Tick) {
+        self.give_up(bio, End::Shed(come_back));
+    }
+
+    fn fail(&mut self, bio: BioId) {
+        self.give_up(bio, End::Failed);
+    }
+
+    fn wake(&mut self, after: Tick) {
+        let at = self.now + after;
+        self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
+    }
+
+    fn probe(&mut self, _node: NodeId) {}
+
+    fn watch_list(&mut self) {
+        self.wants_list = true;
+    }
+
+    fn fetch_list(&mut self) {
+        self.wants_list = true;
+    }
+
+    fn tell_peers(&mut self, _bytes: &[u8]) {}
+
+    fn release_bio(&mut self, bio: BioId) {
+        self.forget(bio.0);
+    }
+
+    fn release_key(&mut self, key: KeyId) {
+        self.keys.release(key.0);
+    }
+
+    /// Volumes keep their index: there are as many as the configuration names.
+    fn release_volume(&mut self, _vol: VolId) {}
+}
--- /dev/null
+++ b/crates/gateway/src/list.rs
@@ -0,0 +1,256 @@
+//! The connection to the node list service, and the copy of the list kept for the next start.
+use crate::clock::millis;
+use crate::wire::{self, Tried};
+use mallowseam_conduct::lines::ListCall;
+use mallowseam_nodelist::{Condition, Entry, Heard, Register, Update};
+use mallowseam_scheduler::host::{ListForm, Listed, NodeId, NodeState, Tick};
+use mallowseam_settings::site;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+const TICKS: Tick = 10; // ticks in a millisecond
+
+/// A node as the configuration names it, and when its present run began by this host's clock.
+struct Known {
+    name: String,
+    zone: u32,
+    shard: u32,
+    born: u64,
+    came_up: Tick,
+}
+
+pub struct List {
+    host: String,
+    address: Option<SocketAddr>,
+    kept: Option<PathBuf>,
+    known: Vec<Known>,
+    registry: Registry,
+    token: Token,
+    socket: Option<TcpStream>,
+    readable: bool,
+    asked: Vec<u8>,
+    register: Register,
+    call: ListCall,
+    news: VecDeque<(ListForm, Vec<Listed>)>,
+}
+
+impl List {
+    pub fn new(host: &site::Host, nodes: &[site::Node], registry: Registry, token: Token) -> Self {
+        let mut zones: Vec<&str> = Vec::new();
+        let mut known = Vec::new();
+        for n in nodes {
+            let zone = zones.iter().position(|z| *z == n.zone).unwrap_or_else(|| {
+                zones.push(&n.zone);
+                zones.len() - 1
+            });
+            known.push(Known {
+                name: n.name.clone(),
+                zone: zone as u32,
+                shard: n.shard,
+                born: 0,
+                came_up: 0,
+            });
+        }
+        List {
+            host: host.name.clone(),
+            address: host.node_list,
+            kept: host.kept_list.clone(),
+            known,
+            registry,
+            token,
+            socket: None,
+            readable: false,
+            asked: Vec::new(),
+            register: Register::default(),
+            call: ListCall::default(),
+            news: VecDeque::new(),
+        }
+    }
+
+    /// What is known before the service has been asked: the kept copy, or all nodes where there is no service.
+    pub fn start(&mut self, now: Tick) {
+        if self.address.is_none() {
+            let listed = |(i, k): (usize, &Known)| Listed {
+                node: NodeId(i as u32),
+                zone: k.zone,
+                shard: k.shard,
+                state: NodeState::Active,
+                came_up: 0,
+            };
+            let all = self.known.iter().enumerate().map(listed).collect();
+            self.news.push_back((ListForm::Whole, all));
+            return;
+        }
+        let Some(path) = &self.kept else { return };
+        match std::fs::read_to_string(path).map_err(|e| e.to_string()) {
+            Ok(text) => match self.register.restore(&text) {
+                Ok(update) => {
+                    tracing::info!(nodes = update.entries.len(), "kept node list read");
+                    self.tell(ListForm::Kept, update, now);
+                }
+                Err(wrong) => tracing::warn!(%wrong, "kept node list is not used"),
+            },
+            Err(why) => tracing::info!(why, "no kept node list"),
+        }
+    }
+
+    pub fn news(&mut self) -> Option<(ListForm, Vec<Listed>)> {
+        self.news.pop_front()
+    }
+
+    pub fn known(&self) -> (u64, u64) {
+        self.register.version()
+    }
+
+    /// Asks for the list and its changes.
+    pub fn watch(&mut self, now: Tick) {
+        let Some(address) = self.address else { return };
+        self.call.asked(millis(now));
+        if self.socket.is_none() {
+            match TcpStream::connect(address) {
+                Ok(mut socket) => {
+                    let interest = Interest::READABLE | Interest::WRITABLE;
+                    if let Err(e) = self.registry.register(&mut socket, self.token, interest) {
+                        return self.fail(&e.to_string());
+                    }
+                    self.register.reconnected();
+                    (self.socket, self.readable) = (Some(socket), false);
+                    self.asked.clear();
+                }
+                Err(e) => return self.fail(&e.to_string()),
+            }
+        }
+        self.asked.extend_from_slice(format!("watch {}\n", self.host).as_bytes());
+        self.flush();
+    }
+
+    fn fail(&mut self, why: &str) {
+        tracing::warn!(why, "node list service");
+        if let Some(mut socket) = self.socket.take() {
+            let _ = self.registry.deregister(&mut socket);
+        }
+        self.call.over();
+        self.news.push_back((ListForm::Failed, Vec::new()));
+    }
+
+    pub fn ready(&mut self, readable: bool, scratch: &mut [u8], now: Tick) {
+        self.readable |= readable;
+        self.flush();
+        while self.readable {
+            let Some(socket) = &mut self.socket else { return };
+            match wire::read(socket, scratch) {
+                Tried::Blocked => self.readable = false,
+                Tried::Read(n) => {
+                    let mut heard = Vec::new();
+                    let received = self.register.receive(&scratch[..n], |h| heard.push(h));
+                    heard.into_iter().for_each(|h| self.heard(h, now));
+                    if let Err(wrong) = received {
+                        return self.fail(&wrong.to_string());
+                    }
+                }
+                Tried::Over(why) => return self.fail(&why),
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        let Some(socket) = &mut self.socket else { return };
+        while !self.asked.is_empty() {
+            match socket.write(&self.asked) {
+                Ok(n) => drop(self.asked.drain(..n)),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => return self.fail(&e.to_string()),
+            }
+        }
+    }
+
+    fn heard(&mut self, heard: Heard, now: Tick) {
+        match heard {
+            Heard::Nothing => {}
+            Heard::Missed => {
+                self.call.asked(millis(now));
+                self.asked.extend_from_slice(format!("all {}\n", self.host).as_bytes());
+                self.flush();
+            }
+            Heard::News(update) => {
+                self.call.over();
+                let form = if update.whole { ListForm::Whole } else { ListForm::Changes };
+                self.tell(form, update, now);
+                self.keep();
+            }
+        }
+    }
+
+    fn tell(&mut self, form: ListForm, update: Update, now: Tick) {
+        let mut listed = Vec::new();
+        for entry in &update.entries {
+            match self.listed(entry, now) {
+                Some(l) => {
+                    tracing::info!(
+                        node = entry.name,
+                        state = entry.condition.word(),
+                        age = entry.age,
+                        "listed"
+                    );
+                    listed.push(l);
+                }
+                None => {
+                    tracing::warn!(node = entry.name, "the list names a node that the configuration lacks")
+                }
+            }
+        }
+        self.news.push_back((form, listed));
+    }
+
+    fn listed(&mut self, entry: &Entry, now: Tick) -> Option<Listed> {
+        let i = self.known.iter().position(|k| k.name == entry.name)?;
+        let known = &mut self.known[i];
+        // News take a while: of one run, the earliest start that was told is the truest. It never moves up,
+        // which would look like another start.
+        let began = (now - entry.age as Tick * TICKS).max(1);
+        if entry.born == 0 {
+            (known.born, known.came_up) = (0, 0);
+        } else if entry.born != known.born {
+            (known.born, known.came_up) = (entry.born, began);
+        } else {
+            known.came_up = known.came_up.min(began);
+        }
+        Some(Listed {
+            node: NodeId(i as u32),
+            zone: known.zone,
+            shard: known.shard,
+            state: match entry.condition {
+                Condition::Active => NodeState::Active,
+                Condition::Leaving => NodeState::Leaving,
+                Condition::Left => NodeState::Left,
+            },
+            came_up: known.came_up,
+        })
+    }
+
+    fn keep(&self) {
+        let Some(path) = &self.kept else { return };
+        if let Err(e) = replace(path, self.register.keep().as_bytes()) {
+            tracing::warn!(path = %path.display(), error = %e, "node list not kept");
+        }
+    }
+
+    /// A call that the service does not answer has failed.
+    pub fn care(&mut self, now: Tick) {
+        if self.call.failed(millis(now)) {
+            self.fail("no answer in time");
+        }
+    }
+}
+
+/// Puts a file in place whole, or leaves the old one.
+fn replace(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let fresh = path.with_extension("new");
+    std::fs::write(&fresh, bytes)?;
+    std::fs::rename(&fresh, path)
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    mallowseam_gateway::cli::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/gateway/src/nodes.rs
@@ -0,0 +1,273 @@
+//! Connections to the storage nodes. A submit goes out on the node's one connection, which is opened when a
+//! submit first asks for it; submits wait for its login in a queue that their own time-outs bound.
+use crate::clock::millis;
+use crate::wire::{self, Tried};
+use mallowseam_conduct::lines::Line;
+use mallowseam_iscsi::initiator::{Came, InitiatorConn, Payload};
+use mallowseam_iscsi::params::Wishes;
+use mallowseam_iscsi::scsi::status;
+use mallowseam_scheduler::host::{Ending, Tick};
+use mallowseam_settings::site;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// What is sent for one submit.
+#[derive(Clone)]
+pub struct Order {
+    pub tag: u32,
+    pub cdb: [u8; 16],
+    pub room: usize,
+    pub data: Payload,
+}
+
+/// How a submit ended, with the data of a read.
+pub struct Result {
+    pub tag: u32,
+    pub ending: Ending,
+    pub data: Vec<u8>,
+}
+
+struct Link {
+    socket: TcpStream,
+    conn: InitiatorConn,
+}
+
+pub struct Node {
+    pub name: String,
+    address: SocketAddr,
+    target: String,
+    lun: u16,
+    pub line: Line,
+    link: Option<Link>,
+    queue: VecDeque<Order>,
+    dirty: bool,
+    readable: bool,
+    connects: u32,
+}
+
+pub struct Nodes {
+    pub all: Vec<Node>,
+    initiator: String,
+    wishes: Wishes,
+    registry: Registry,
+    first_token: usize,
+    results: VecDeque<(usize, Result)>,
+    dirty: Vec<usize>,
+}
+
+impl Nodes {
+    pub fn new(
+        nodes: &[site::Node],
+        initiator: String,
+        wishes: Wishes,
+        registry: Registry,
+        first: usize,
+    ) -> Self {
+        let node = |n: &site::Node| Node {
+            name: n.name.clone(),
+            address: n.address.expect("checked"),
+            target: n.target.clone(),
+            lun: n.lun,
+            line: Line::default(),
+            link: None,
+            queue: VecDeque::new(),
+            dirty: false,
+            readable: false,
+            connects: 0,
+        };
+        Nodes {
+            all: nodes.iter().map(node).collect(),
+            initiator,
+            wishes,
+            registry,
+            first_token: first,
+            results: VecDeque::new(),
+            dirty: Vec::new(),
+        }
+    }
+
+    /// The next submit that has ended by itself.
+    pub fn ended(&mut self) -> Option<(usize, Result)> {
+        self.results.pop_front()
+    }
+
+    /// Whether no ended submit waits to be told.
+    pub fn is_quiet(&self) -> bool {
+        self.results.is_empty()
+    }
+
+    fn end(&mut self, at: usize, tag: u32, ending: Ending, data: Vec<u8>) {
+        self.results.push_back((at, Result { tag, ending, data }));
+    }
+
+    pub fn submit(&mut self, at: usize, order: Order, now: Tick) {
+        let tag = order.tag;
+        let node = &mut self.all[at];
+        if node.line.is_up() {
+            let link = node.link.as_mut().expect("a line that is up has a link");
+            let Order { cdb, room, data, .. } = order;
+            if link.conn.command(tag, node.lun, &cdb, room, data) {
+                self.mark(at);
+            } else {
+                // The node's own window is closed: it has turned the command away before it was sent.
+                self.end(at, tag, Ending::Busy, Vec::new());
+            }
+            return;
+        }
+        node.queue.push_back(order);
+        if node.line.wanted(millis(now))
+            && let Err(why) = self.open(at)
+        {
+            self.fail_line(at, &why);
+        }
+    }
+
+    fn open(&mut self, at: usize) -> std::result::Result<(), String> {
+        let node = &mut self.all[at];
+        node.connects += 1;
+        let mut socket = TcpStream::connect(node.address).map_err(|e| e.to_string())?;
+        let _ = socket.set_nodelay(true);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.registry
+            .register(&mut socket, Token(self.first_token + at), interest)
+            .map_err(|e| e.to_string())?;
+        let isid = [0x80, 0, 0, 1, 0, 0];
+        let conn = InitiatorConn::new(&self.initiator, Some(&node.target), isid, &self.wishes);
+        node.link = Some(Link { socket, conn });
+        node.readable = false;
+        self.mark(at);
+        Ok(())
+    }
+
+    fn mark(&mut self, at: usize) {
+        if !std::mem::replace(&mut self.all[at].dirty, true) {
+            self.dirty.push(at);
+        }
+    }
+
+    /// Stops waiting for a submit. True: it was never handed to the connection, so it has not run.
+    pub fn give_up(&mut self, at: usize, tag: u32, now: Tick) -> bool {
+        let node = &mut self.all[at];
+        let before = node.queue.len();
+        node.queue.retain(|o| o.tag != tag);
+        if node.queue.len() < before {
+            return true;
+        }
+        if let Some(link) = &mut node.link {
+            link.conn.abort(tag);
+            node.line.aborted(millis(now));
+            self.mark(at);
+        }
+        false
+    }
+
+    /// Drops a connection: what was sent on it may have run, what was not has not.
+    pub fn drop_line(&mut self, at: usize) {
+        let node = &mut self.all[at];
+        node.line.down();
+        for order in std::mem::take(&mut node.queue) {
+            self.results.push_back((at, Result { tag: order.tag, ending: Ending::NoConnect, data: vec![] }));
+        }
+        if let Some(mut link) = node.link.take() {
+            let _ = self.registry.deregister(&mut link.socket);
+            for tag in link.conn.tags().collect::<Vec<_>>() {
+                let ran = link.conn.on_the_wire(tag);
+                let ending = if ran { Ending::Reset } else { Ending::NoConnect };
+                self.results.push_back((at, Result { tag, ending, data: vec![] }));
+            }
+        }
+    }
+
+    fn fail_line(&mut self, at: usize, why: &str) {
+        tracing::warn!(node = self.all[at].name, why, "connection lost");
+        self.drop_line(at);
+    }
+
+    /// The socket has something to say. True: there may be more to read.
+    pub fn ready(&mut self, at: usize, readable: bool, scratch: &mut [u8], now: Tick) -> bool {
+        self.all[at].readable |= readable;
+        self.mark(at);
+        self.read(at, scratch, now)
+    }
+
+    pub fn read(&mut self, at: usize, scratch: &mut [u8], now: Tick) -> bool {
+        let node = &mut self.all[at];
+        let Some(link) = node.link.as_mut().filter(|_| node.readable) else { return false };
+        match wire::read(&mut link.socket, scratch) {
+            Tried::Blocked => node.readable = false,
+            Tried::Read(n) => {
+                let received = link.conn.receive(&scratch[..n]);
+                self.came(at, now);
+                match received {
+                    Ok(()) => return true,
+                    Err(fault) => self.fail_line(at, &fault.0),
+                }
+            }
+            Tried::Over(why) => self.fail_line(at, &why),
+        }
+        false
+    }
+
+    fn came(&mut self, at: usize, now: Tick) {
+        while let Some(came) = self.all[at].link.as_mut().and_then(|l| l.conn.came()) {
+            match came {
+                Came::LoggedIn => {
+                    tracing::info!(node = self.all[at].name, "connected");
+                    self.all[at].line.up();
+                    for order in std::mem::take(&mut self.all[at].queue) {
+                        self.submit(at, order, now);
+                    }
+                }
+                Came::Answer { tag, status: code, data, .. } => {
+                    let ending = match code {
+                        status::GOOD => Ending::Done,
+                        status::BUSY | status::TASK_SET_FULL => Ending::Busy,
+                        _ => Ending::Error,
+                    };
+                    self.end(at, tag, ending, data);
+                }
+                Came::Rejected { tag, reason } => {
+                    tracing::warn!(node = self.all[at].name, reason, "command rejected");
+                    self.end(at, tag, Ending::Error, Vec::new());
+                }
+                Came::Gone { .. } => self.all[at].line.abort_answered(millis(now)),
+                Came::AskedOut => {
+                    if let Some(link) = &mut self.all[at].link {
+                        link.conn.logout();
+                    }
+                    self.mark(at);
+                }
+                Came::LoggedOut => {
+                    self.drop_line(at);
+                    return;
+                }
+                Came::Text(_) => {}
+            }
+        }
+    }
+
+    /// Writes what waits for nodes.
+    pub fn flush(&mut self) {
+        while let Some(at) = self.dirty.pop() {
+            self.all[at].dirty = false;
+            if let Some(link) = &mut self.all[at].link
+                && let Err(why) = wire::write(&mut link.socket, link.conn.out())
+            {
+                self.fail_line(at, &why);
+            }
+        }
+    }
+
+    /// Lines that do not do what they must are dropped.
+    pub fn care(&mut self, now: Tick) {
+        for at in 0..self.all.len() {
+            let node = &self.all[at];
+            let out = node.link.as_ref().map_or(0, |l| l.conn.in_hand());
+            if let Some(why) = node.line.care(millis(now), out) {
+                self.fail_line(at, why.words());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,409 @@
+//! The event loop: one thread, every decision the scheduler's or a conduct module's.
+use crate::clients::Clients;
+use crate::clock::{Clock, millis, span};
+use crate::control::{self, CommandStatus, Control, GroupStatus, NodeStatus, Status};
+use crate::desk::Desk;
+use crate::list::List;
+use crate::nodes::Nodes;
+use crate::terms;
+use mallowseam_conduct::door::Door;
+use mallowseam_iscsi::frame::Digests;
+use mallowseam_iscsi::params::Wishes;
+use mallowseam_iscsi::target::TargetTerms;
+use mallowseam_scheduler::host::{NodeId, NodeState, Tick};
+use mallowseam_scheduler::scheduler::Scheduler;
+use mallowseam_settings::Site;
+use mio::net::{TcpListener, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use rand::Rng;
+use std::collections::VecDeque;
+use std::fmt;
+use std::io::{self, ErrorKind, Read};
+use std::rc::Rc;
+
+const LISTENER: Token = Token(0);
+const CONTROL: Token = Token(1);
+const LIST: Token = Token(2);
+const SIGNALS: Token = Token(3);
+const CALLERS: usize = 4;
+const NODES: usize = CALLERS + control::MOST;
+/// Bytes read from a socket in one go; each ready socket has its turn.
+const SCRATCH: usize = 128 * 1024;
+/// Ticks between two looks at how connections stand: fine enough for times of seconds.
+const LOOK: Tick = 1_000;
+const MICROS: f64 = 1_000.0; // microseconds in a millisecond
+
+/// Why a host could not run.
+#[derive(Debug)]
+pub struct Failure(String);
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn failure(what: String) -> impl FnOnce(io::Error) -> Failure {
+    move |e| Failure(format!("{what}: {e}"))
+}
+
+/// Whose turn it is to be read from.
+#[derive(Clone, Copy, PartialEq)]
+enum Turn {
+    Client(u32),
+    Node(usize),
+}
+
+struct Gateway {
+    site: Site,
+    clock: Clock,
+    scheduler: Scheduler,
+    desk: Desk,
+    list: List,
+    listener: TcpListener,
+    accepting: bool,
+    control: Option<Control>,
+    signals: UnixStream,
+    stops: u32,
+    turns: VecDeque<Turn>,
+    scratch: Vec<u8>,
+    looked: Tick,
+}
+
+/// Runs a host until it is told to stop. Errors: an address or path that cannot be had.
+pub fn run(site: Site) -> Result<(), Failure> {
+    let mut poll = Poll::new().map_err(failure("poll".into()))?;
+    let mut gateway = Gateway::open(site, &poll)?;
+    let mut events = Events::with_capacity(1024);
+    gateway.start();
+    while !gateway.over() {
+        let wait = gateway.wait();
+        if let Err(e) = poll.poll(&mut events, wait)
+            && e.kind() != ErrorKind::Interrupted
+        {
+            return Err(Failure(format!("poll: {e}")));
+        }
+        gateway.desk.now = gateway.clock.now();
+        for event in events.iter() {
+            let readable = event.is_readable() || event.is_error() || event.is_read_closed();
+            gateway.ready(event.token(), readable);
+        }
+        gateway.round();
+    }
+    tracing::info!("host ends");
+    Ok(())
+}
+
+impl Gateway {
+    fn open(site: Site, poll: &Poll) -> Result<Self, Failure> {
+        let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
+        let address = site.host.listen.expect("checked");
+        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
+        let bound = listener.local_addr().map_err(failure(format!("listen {address}")))?;
+        poll.registry()
+            .register(&mut listener, LISTENER, Interest::READABLE)
+            .map_err(failure("poll".into()))?;
+        let control = match &site.host.control {
+            Some(path) => Some(
+                Control::open(path, registry()?, CONTROL, CALLERS)
+                    .map_err(failure(format!("control {}", path.display())))?,
+            ),
+            None => None,
+        };
+        let signals = signals(poll).map_err(failure("signals".into()))?;
+        let digests = Digests { header: site.host.header_digest, data: site.host.data_digest };
+        let wishes = Wishes { digests, ..Wishes::default() };
+        let targets = Rc::new(TargetTerms {
+            wishes,
+            window: site.host.window,
+            longest: site.host.longest as usize,
+            names: vec![site.host.target.clone()],
+            address: bound.to_string(),
+        });
+        let door = Door::new(&site.host.target, site.host.connections as usize);
+        let clients = Clients::new(door, targets, registry()?, NODES + site.nodes.len());
+        let initiator = format!("{}:{}", site.host.target, site.host.name);
+        let nodes = Nodes::new(&site.nodes, initiator, wishes, registry()?, NODES);
+        let list = List::new(&site.host, &site.nodes, registry()?, LIST);
+        let seed = site.host.seed.unwrap_or_else(|| rand::rng().next_u64());
+        let clock = Clock::start();
+        tracing::info!(host = site.host.name, listen = %bound, seed, "host starts");
+        Ok(Gateway {
+            scheduler: Scheduler::new(&terms::terms(&site), seed, clock.now()),
+            desk: Desk::new(&site, clients, nodes),
+            list,
+            listener,
+            accepting: false,
+            control,
+            signals,
+            stops: 0,
+            turns: VecDeque::new(),
+            scratch: vec![0; SCRATCH],
+            looked: 0,
+            clock,
+            site,
+        })
+    }
+
+    fn start(&mut self) {
+        self.desk.now = self.clock.now();
+        self.list.start(self.desk.now);
+        self.hear_list();
+        // The first wake-up: the scheduler asks for the list and its windows from here on.
+        self.scheduler.woken(&mut self.desk, self.clock.now());
+        self.round();
+    }
+
+    /// Told to stop and nobody is left, or told twice.
+    fn over(&self) -> bool {
+        let empty = self.desk.clients.door.count() == 0 && self.desk.in_hand() == 0;
+        self.stops > 1 || self.stops == 1 && empty
+    }
+
+    fn wait(&self) -> Option<std::time::Duration> {
+        if !self.turns.is_empty() {
+            return Some(std::time::Duration::ZERO);
+        }
+        let mut due = self.looked + LOOK;
+        for at in [self.desk.wake_at, self.desk.next_timer()].into_iter().flatten() {
+            due = due.min(at);
+        }
+        Some(span(due - self.clock.now()))
+    }
+
+    fn ready(&mut self, token: Token, readable: bool) {
+        let now = self.desk.now;
+        match token {
+            LISTENER => self.accepting = true,
+            CONTROL => {
+                if let Some(control) = &mut self.control {
+                    control.accept();
+                }
+            }
+            LIST => self.list.ready(readable, &mut self.scratch, now),
+            SIGNALS => {
+                let mut bytes = [0; 16];
+                while let Ok(n) = self.signals.read(&mut bytes) {
+                    if n == 0 {
+                        break;
+                    }
+                    self.stops += n as u32;
+                    self.drain("signal");
+                }
+            }
+            Token(t) if t < NODES => {
+                let at = (t - CALLERS) as u32;
+                if let Some(line) = self.control.as_mut().and_then(|c| c.ready(at)) {
+                    let answer = self.told(&line);
+                    if let Some(control) = &mut self.control {
+                        control.answer(at, &answer);
+                    }
+                }
+            }
+            Token(t) if t < NODES + self.desk.nodes.all.len() => {
+                let at = t - NODES;
+                if self.desk.nodes.ready(at, readable, &mut self.scratch, now) {
+                    self.turns.push_back(Turn::Node(at));
+                }
+                self.desk.settle(&mut self.scheduler);
+            }
+            Token(t) => {
+                let at = (t - NODES - self.desk.nodes.all.len()) as u32;
+                let more = self.desk.clients.ready(at, readable, &mut self.scratch, now);
+                self.client_came(at, more);
+            }
+        }
+    }
+
+    fn client_came(&mut self, at: u32, more: bool) {
+        if more && !self.turns.contains(&Turn::Client(at)) {
+            self.turns.push_back(Turn::Client(at));
+        }
+        while let Some(came) = self.desk.clients.came(at) {
+            self.desk.came(&mut self.scheduler, at, came);
+        }
+        self.desk.settle(&mut self.scheduler);
+    }
+
+    /// What is due after the events of one poll.
+    fn round(&mut self) {
+        if self.accepting {
+            self.accept();
+        }
+        // Each socket with more to read has one turn a round.
+        for _ in 0..self.turns.len() {
+            let now = self.desk.now;
+            match self.turns.pop_front() {
+                Some(Turn::Node(at)) => {
+                    if self.desk.nodes.read(at, &mut self.scratch, now) {
+                        self.turns.push_back(Turn::Node(at));
+                    }
+                    self.desk.settle(&mut self.scheduler);
+                }
+                Some(Turn::Client(at)) => {
+                    let more = self.desk.clients.read(at, &mut self.scratch, now);
+                    self.client_came(at, more);
+                }
+                None => break,
+            }
+        }
+        self.hear_list();
+        self.desk.now = self.clock.now();
+        self.desk.run_timers();
+        self.desk.settle(&mut self.scheduler);
+        if self.desk.wake_at.is_some_and(|at| at <= self.desk.now) {
+            self.desk.wake_at = None;
+            let now = self.desk.now;
+            self.scheduler.woken(&mut self.desk, now);
+            self.desk.settle(&mut self.scheduler);
+        }
+        if std::mem::take(&mut self.desk.wants_list) {
+            self.list.watch(self.desk.now);
+            self.hear_list();
+        }
+        if self.desk.now >= self.looked + LOOK {
+            self.looked = self.desk.now;
+            self.desk.clients.care(self.desk.now);
+            self.desk.nodes.care(self.desk.now);
+            self.list.care(self.desk.now);
+            self.accepting = true;
+            self.hear_list();
+            self.desk.settle(&mut self.scheduler);
+        }
+        self.desk.nodes.flush();
+        let mut again = Vec::new();
+        self.desk.clients.flush(self.desk.now, &mut again);
+        for at in again {
+            if !self.turns.contains(&Turn::Client(at)) {
+                self.turns.push_back(Turn::Client(at));
+            }
+        }
+        // A connection that failed while it was written to has ended submits.
+        self.desk.settle(&mut self.scheduler);
+    }
+
+    fn accept(&mut self) {
+        self.accepting = false;
+        loop {
+            match self.listener.accept() {
+                Ok((socket, peer)) => self.desk.clients.accept(socket, peer, self.desk.now),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    tracing::warn!(error = %e, "accept");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn hear_list(&mut self) {
+        while let Some((form, listed)) = self.list.news() {
+            for l in &listed {
+                self.desk.nodes.all[l.node.0 as usize].line.listed(l.state == NodeState::Left);
+            }
+            let now = self.desk.now;
+            self.scheduler.listed(&mut self.desk, now, form, &listed);
+            self.desk.settle(&mut self.scheduler);
+        }
+    }
+
+    fn drain(&mut self, cause: &str) -> bool {
+        let drained = self.desk.clients.drain(self.desk.now);
+        if drained {
+            tracing::info!(cause, "closed to new logins");
+        }
+        drained
+    }
+
+    /// A line on the control socket.
+    fn told(&mut self, line: &str) -> String {
+        match line {
+            "status" => serde_json::to_string(&self.status()).unwrap_or_else(|e| format!("error: {e}")),
+            "drain" => if self.drain("operator") { "draining" } else { "draining already" }.into(),
+            "undrain" if self.stops > 0 => "error: the host is stopping".into(),
+            "undrain" => {
+                self.desk.clients.door.undrain();
+                tracing::info!("open to logins");
+                "open".into()
+            }
+            "stop" => {
+                self.stops += 1;
+                self.drain("operator");
+                "stopping".into()
+            }
+            other => format!("error: `{other}`: expected status, drain, undrain or stop"),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let desk = &self.desk;
+        let (list_epoch, list_version) = self.list.known();
+        let group =
+            |(g, f): (&mallowseam_settings::site::Group, &crate::figures::GroupFigures)| GroupStatus {
+                name: g.name.clone(),
+                taken: f.answers.taken,
+                ended: f.answers.ended,
+                shed: f.answers.shed,
+                failed: f.answers.failed,
+                past_goal: f.late,
+                median_ms: f.waits.value_at_quantile(0.5) as f64 / MICROS,
+                p99_ms: f.waits.value_at_quantile(0.99) as f64 / MICROS,
+            };
+        let node = |(i, n): (usize, &crate::nodes::Node)| {
+            let (view, f) = (self.scheduler.view(desk.now, NodeId(i as u32)), &desk.figures.nodes[i]);
+            let view = view.unwrap_or_default();
+            NodeStatus {
+                name: n.name.clone(),
+                connected: n.line.is_up(),
+                open: view.open,
+                cold: view.cold,
+                out: view.out,
+                held: view.held,
+                window: view.window,
+                wait_ms: view.wait / 10.0,
+                failures: view.failures,
+                submits: f.submits,
+                done: f.done,
+                busy: f.busy,
+                errors: f.errors,
+                timed_out: f.timed_out,
+                no_connect: f.no_connect,
+                reset: f.reset,
+                cancelled: f.cancelled,
+            }
+        };
+        let c = &desk.figures.commands;
+        Status {
+            host: self.site.host.name.clone(),
+            up_seconds: millis(desk.now) as f64 / 1000.0,
+            draining: desk.clients.door.draining(),
+            connections: desk.clients.door.count(),
+            in_hand: desk.in_hand(),
+            buffer_bytes: desk.clients.held(),
+            list_epoch,
+            list_version,
+            commands: CommandStatus {
+                taken: c.taken,
+                ended: c.ended,
+                shed: c.shed,
+                failed: c.failed,
+                left: c.left,
+            },
+            groups: self.site.groups.iter().zip(&desk.figures.groups).map(group).collect(),
+            nodes: desk.nodes.all.iter().enumerate().map(node).collect(),
+        }
+    }
+}
+
+/// SIGTERM and SIGINT as bytes on a socket that the loop watches.
+fn signals(poll: &Poll) -> io::Result<UnixStream> {
+    let (mine, theirs) = std::os::unix::net::UnixStream::pair()?;
+    mine.set_nonblocking(true)?;
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
+    }
+    let mut mine = UnixStream::from_std(mine);
+    poll.registry().register(&mut mine, SIGNALS, Interest::READABLE)?;
+    Ok(mine)
+}
--- /dev/null
+++ b/crates/gateway/src/terms.rs
@@ -0,0 +1,76 @@
+//! From the configuration to the scheduler's terms and the volumes' layouts.
+use crate::clock::{down, up};
+use mallowseam_conduct::parts::{Extent, Layout, Rule};
+use mallowseam_scheduler::host::{Effect, IoGroup, Plan, Terms};
+use mallowseam_settings::Site;
+use mallowseam_settings::site::{self, Direction};
+
+pub fn terms(site: &Site) -> Terms {
+    let fleet = &site.fleet;
+    let group = |g: &site::Group| IoGroup {
+        effect: match g.effect {
+            site::Effect::Idempotent => Effect::Idempotent,
+            site::Effect::SideEffecting => Effect::SideEffecting,
+        },
+        goal: down(g.goal),
+        late_share: g.late_share,
+        gain: g.gain,
+        ordered: g.ordered,
+        writes: false,
+    };
+    let plan = |p: &site::Plan| Plan {
+        usual: p.usual,
+        reserve: p.reserve,
+        limit: p.limit,
+        limit_burst: p.limit_burst,
+        wt: p.weight,
+        price: p.price,
+    };
+    Terms {
+        hosts: fleet.hosts,
+        groups: site.groups.iter().map(group).collect(),
+        plans: site.plans.iter().map(plan).collect(),
+        mean_units: fleet.mean_units,
+        largest: fleet.largest_units,
+        share_gain: fleet.share_gain,
+        spare_gain: fleet.spare_gain,
+        // iSCSI has no field in which a node could tell what it does for other hosts, nor one for peers.
+        counts_others: false,
+        may_cancel: true,
+        may_name_return: fleet.come_back > 0,
+        longest_return: down(fleet.come_back),
+        max_submits: fleet.submits,
+        list_on_request: site.host.node_list.is_some(),
+        cold_bears: fleet.cold_bears,
+        cold_from: fleet.cold_from,
+        cold_span: up(fleet.cold_span),
+        fall_span: up(fleet.fall_span),
+        fall_multiple: fleet.fall_multiple,
+        order_rest: up(fleet.order_rest),
+        budget_free: fleet.further_free,
+        budget_share: fleet.further_part,
+        budget_span: up(fleet.further_span),
+        ..Terms::default()
+    }
+}
+
+pub fn layout(site: &Site, volume: &site::Volume) -> Layout {
+    let extent = |e: &site::Extent| Extent {
+        first: e.first,
+        blocks: e.blocks,
+        shard: site.nodes[e.node].shard,
+        node_first: e.node_first,
+    };
+    let rule = |r: &site::Rule| Rule {
+        reads: r.direction != Direction::Write,
+        writes: r.direction != Direction::Read,
+        first: r.first,
+        last: r.last,
+        group: r.group as u16,
+        key: r.key,
+    };
+    Layout {
+        extents: volume.extents.iter().map(extent).collect(),
+        rules: volume.rules.iter().map(rule).collect(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/wire.rs
@@ -0,0 +1,43 @@
+//! Bytes between a socket and what is to be written or read, without blocking.
+use mallowseam_iscsi::frame::Outgoing;
+use std::io::{ErrorKind, Read, Write};
+
+/// What a try at a socket came to.
+pub enum Tried {
+    /// The socket takes or has no more for now.
+    Blocked,
+    /// So many bytes were read; there may be more.
+    Read(usize),
+    /// The other side closed, or the socket failed.
+    Over(String),
+}
+
+pub fn read(socket: &mut impl Read, into: &mut [u8]) -> Tried {
+    loop {
+        match socket.read(into) {
+            Ok(0) => return Tried::Over("closed by the other side".into()),
+            Ok(n) => return Tried::Read(n),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Tried::Blocked,
+            Err(e) => return Tried::Over(e.to_string()),
+        }
+    }
+}
+
+/// Writes what waits; how many bytes went, or why the socket is over.
+pub fn write(socket: &mut impl Write, out: &mut Outgoing) -> Result<usize, String> {
+    let mut all = 0;
+    while !out.waiting().is_empty() {
+        match socket.write(out.waiting()) {
+            Ok(0) => return Err("takes no bytes".into()),
+            Ok(n) => {
+                out.wrote(n);
+                all += n;
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+    Ok(all)
+}
--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -90,6 +90,7 @@
     max_cmd_sn: u32,
     outs: Vec<Option<Out>>,
     turn: u16,
+    strays: u64,
     events: VecDeque<Came>,
 }
 
@@ -109,6 +110,7 @@
             max_cmd_sn: 0,
             outs: Vec::new(),
             turn: 0,
+            strays: 0,
             events: VecDeque::new(),
         }
     }
@@ -263,6 +265,11 @@
         self.outs.iter().flatten().count()
     }
 
+    /// Final answers that belong to no command out: a target that answers twice.
+    pub fn strays(&self) -> u64 {
+        self.strays
+    }
+
     /// Takes bytes as they come. A fault closes the connection.
     pub fn receive(&mut self, mut input: &[u8]) -> Result<(), Fault> {
         while !input.is_empty() {
@@ -346,7 +353,10 @@
 
     fn data_in(&mut self, pdu: &Pdu) -> Result<(), Fault> {
         let bhs = &pdu.bhs;
-        let Some(at) = self.find(bhs.itt()) else { return Ok(()) };
+        let Some(at) = self.find(bhs.itt()) else {
+            self.strays += u64::from(bhs.flags() & flag::STATUS != 0);
+            return Ok(());
+        };
         let out = self.outs[at].as_mut().expect("found");
         if !out.aborted {
             if bhs.offset() as usize != out.read.len() || out.read.len() + pdu.data.len() > out.room {
@@ -374,7 +384,10 @@
     }
 
     fn response(&mut self, pdu: &Pdu) {
-        let Some(at) = self.find(pdu.bhs.itt()) else { return };
+        let Some(at) = self.find(pdu.bhs.itt()) else {
+            self.strays += 1;
+            return;
+        };
         let sense = pdu.data.get(2..).and_then(Sense::read);
         // Response code 1: the target failed, whatever the status byte says.
         let status =
--- a/crates/nodelist/src/lib.rs
+++ b/crates/nodelist/src/lib.rs
@@ -1,7 +1,7 @@
 //! The protocol of the node list service, free of I/O. Lines of text over a stream:
 //!
-//! A host says `watch` (the whole list, then each change as it happens) or `all` (the whole list once). The
-//! service says `list EPOCH VERSION whole|changes COUNT` and then COUNT times
+//! A host says `watch HOST` (the whole list, then each change as it happens) or `all HOST` (the whole list
+//! once), with its own name. The service says `list EPOCH VERSION whole|changes COUNT` and then COUNT times
 //! `node NAME active|leaving|left BORN AGE`. EPOCH is drawn by the service at its start, VERSION counts up
 //! within it. BORN tells one run of a node's process from another and is 0 for one long past; AGE is how long
 //! that run has been up, in milliseconds, by the service's knowledge at sending. The clocks of host and
--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -189,3 +189,19 @@
     Kept,
     Failed,
 }
+
+/// How a node stands with this host, for whoever watches; nothing decides by it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct NodeView {
+    pub open: bool,
+    /// Submits out, block I/Os held here, and the window for submits.
+    pub out: u32,
+    pub held: u32,
+    pub window: f64,
+    /// Mean wait in ticks, the delay multiplier, and failures in a row.
+    pub wait: f64,
+    pub multiplier: f64,
+    pub failures: u32,
+    /// Whether the node counts as cold.
+    pub cold: bool,
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -433,6 +433,21 @@
         self.sleep(host, now);
     }
 
+    /// How a node stands, for those who watch.
+    pub fn view(&self, now: Tick, at: NodeId) -> Option<NodeView> {
+        let n = self.nodes.get(at.0)?;
+        Some(NodeView {
+            open: n.open,
+            out: n.out.len() as u32,
+            held: n.held.len() as u32,
+            window: n.wt,
+            wait: n.lat,
+            multiplier: n.mult,
+            failures: n.failures,
+            cold: n.came_up > 0 && now < n.came_up + self.cold.span,
+        })
+    }
+
     pub fn probed(&mut self, _host: &mut dyn Host, _now: Tick, _node: NodeId, _outcome: &Outcome) {}
 
     pub fn heard(&mut self, _host: &mut dyn Host, _now: Tick, _from: u32, _bytes: &[u8]) {}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,8 +1,8 @@
 //! The wire: each line read becomes a call on the scheduler it is for; the scheduler's answers become lines.
-use crate::door::Door;
 use crate::terms::{self, Named};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use mallowseam_scheduler::door::Door;
 use mallowseam_scheduler::host::*;
 use mallowseam_scheduler::scheduler::Scheduler;
 use std::collections::BTreeMap;
