The lab: stand-ins, clients, scripts of trouble and an audit from the sockets

The running host has to be proven on sockets. crates/lab plays a text script: real host processes, nodes that keep real bytes and fail as asked, a node list service that is late, forty clients; the audit is separate code that reads only what passed on the sockets and judges the seven rules and the bytes read.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -145,6 +145,13 @@
     }
 }
 
+impl Status {
+    /// Reads a host's answer. Error: what is wrong with it.
+    pub fn read(text: &str) -> Result<Status, String> {
+        serde_json::from_str(text).map_err(|e| e.to_string())
+    }
+}
+
 /// Asks a running host; its answer as it came. Errors: no host there, no answer within five seconds, a
 /// refusal in the host's words.
 pub fn ask(path: &Path, what: &str) -> io::Result<String> {
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -51,6 +51,10 @@
         self.places.len() - self.free.len()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (u32, &T)> {
         self.places.iter().enumerate().filter_map(|(at, v)| Some((at as u32, v.as_ref()?)))
     }
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for nodes, clients and the node list service, scripts of trouble, and the audit that judges a
+//! run by what passed on the sockets. Nothing here is part of `mallowseam`.
+pub mod audit;
+pub mod bench;
+pub mod block;
+pub mod listd;
+pub mod load;
+pub mod node;
+pub mod rehearse;
+pub mod script;
+pub mod trace;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,143 @@
+use clap::{Parser, Subcommand};
+use mallowseam_lab::rehearse::{self, Outcome, Program};
+use mallowseam_lab::{bench, script};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "mallowseam-lab", version, about = "Stand-ins, load, trouble and audit for mallowseam")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Fifteen seconds of three hosts, six nodes and forty clients on loopback, with trouble
+    Demo {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Play a script of trouble through real hosts and judge it by what passed on the sockets
+    Rehearse {
+        /// bad-day, demo, short, or a script's file
+        script: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds in a row, from the first on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Compare clients at a node directly and through a host
+    Bench(bench::Options),
+    /// Run a host of this build (what rehearsals start)
+    #[command(hide = true)]
+    Host {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+}
+
+const SCRIPTS: [(&str, &str); 3] = [
+    ("bad-day", include_str!("../scripts/bad-day.script")),
+    ("demo", include_str!("../scripts/demo.script")),
+    ("short", include_str!("../scripts/short.script")),
+];
+
+fn main() -> ExitCode {
+    match Line::parse().what {
+        What::Demo { seed } => play("demo", seed, 1, false),
+        What::Rehearse { script, seed, seeds, quiet } => play(&script, seed, seeds, quiet),
+        What::Bench(options) => finish(bench::run(&options, &program()).map(|table| {
+            print!("{table}");
+            true
+        })),
+        What::Host { args } => {
+            mallowseam_gateway::cli::main(std::iter::once("mallowseam".into()).chain(args))
+        }
+    }
+}
+
+fn program() -> Program {
+    let path = std::env::current_exe().unwrap_or_else(|_| PathBuf::from("mallowseam-lab"));
+    Program { path, args: vec!["host".into()] }
+}
+
+fn finish(done: Result<bool, String>) -> ExitCode {
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn play(name: &str, seed: u64, seeds: u64, quiet: bool) -> ExitCode {
+    finish(try_play(name, seed, seeds, quiet))
+}
+
+fn try_play(name: &str, seed: u64, seeds: u64, quiet: bool) -> Result<bool, String> {
+    let text = match SCRIPTS.iter().find(|s| s.0 == name) {
+        Some((_, text)) => (*text).to_owned(),
+        None => std::fs::read_to_string(name).map_err(|e| format!("{name}: {e}"))?,
+    };
+    let scene = script::read(name, &text).map_err(|p| p.to_string())?;
+    let mut kept = true;
+    for seed in seed..seed + seeds {
+        println!(
+            "{name}, seed {seed}: {} hosts, {} nodes, {} clients, {} s",
+            scene.hosts,
+            scene.nodes,
+            scene.clients,
+            scene.length / 1_000_000
+        );
+        let outcome = rehearse::run(&scene, seed, &program(), &mut |at, what| {
+            if !quiet {
+                println!("{:>7.2} s  {what}", at as f64 / 1e6);
+            }
+        })?;
+        kept &= report(&outcome, quiet);
+    }
+    Ok(kept)
+}
+
+fn report(outcome: &Outcome, quiet: bool) -> bool {
+    let v = &outcome.verdict;
+    if !quiet {
+        println!(
+            "\n{:<10}{:>8}{:>8}{:>9}{:>7}{:>8}{:>7}{:>12}{:>9}",
+            "group", "asked", "ended", "in goal", "shed", "failed", "left", "median ms", "p99 ms"
+        );
+        for g in &v.groups {
+            let wait = |part: f64| {
+                let at = (g.waits.len() as f64 * part) as usize;
+                g.waits.get(at.min(g.waits.len().saturating_sub(1))).map_or(0.0, |w| *w as f64 / 1000.0)
+            };
+            println!(
+                "{:<10}{:>8}{:>8}{:>8.1}%{:>7}{:>8}{:>7}{:>12.1}{:>9.1}",
+                g.name,
+                g.asked,
+                g.ended,
+                100.0 * g.in_time as f64 / g.asked.max(1) as f64,
+                g.shed,
+                g.failed,
+                g.left,
+                wait(0.5),
+                wait(0.99)
+            );
+        }
+        println!(
+            "\nat the nodes: {} submits, {} of them further ones; {} blocks read back and checked",
+            v.submits, v.further, v.blocks_checked
+        );
+    }
+    outcome.unclean.iter().for_each(|u| println!("unclean: {u}"));
+    v.evidence().iter().for_each(|e| println!("{e}"));
+    println!("{v}");
+    v.kept() && outcome.unclean.is_empty()
+}
--- /dev/null
+++ b/crates/lab/src/node.rs
@@ -0,0 +1,491 @@
+//! A stand-in for a storage node: an iSCSI target that keeps real bytes, serves at a set speed, queues and
+//! turns away, starts cold and falls over when pushed. It fails in the ways a script asks for.
+use crate::block;
+use crate::trace::{Micros, Trace, What};
+use mallowseam_conduct::door::Door;
+use mallowseam_gateway::clients::Clients;
+use mallowseam_iscsi::params::Wishes;
+use mallowseam_iscsi::scsi::{self, Command, Sense, Unit, status};
+use mallowseam_iscsi::target::{Came, TargetTerms};
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token, Waker};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+const FIRST: usize = 2;
+
+/// What a node can do. Times in microseconds.
+#[derive(Clone, Debug)]
+pub struct Model {
+    pub cores: usize,
+    /// Work of one unit on one core.
+    pub unit_work: f64,
+    pub unit_bytes: u64,
+    pub queue: usize,
+    /// A cold start: part of the speed, time until warm, and what makes it fall.
+    pub cold_from: f64,
+    pub cold_span: Micros,
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    pub cold_bears: f64,
+}
+
+impl Model {
+    /// Part of its speed that a node has so long after its start.
+    pub fn warmth(&self, age: Micros) -> f64 {
+        let grown = age as f64 / self.cold_span.max(1) as f64;
+        (self.cold_from + (1.0 - self.cold_from) * grown).min(1.0)
+    }
+
+    /// Units that a node so old bears within a fall span.
+    pub fn bears(&self, age: Micros) -> f64 {
+        let capacity = self.cores as f64 / self.unit_work * self.fall_span as f64;
+        (self.fall_multiple * self.warmth(age) * capacity).max(self.cold_bears)
+    }
+}
+
+/// Trouble, and its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Neither reads nor writes its sockets, while what it has begun goes on.
+    Silent(bool),
+    /// The process is gone with all it had in hand; comes back cold.
+    Crash,
+    Start,
+    /// Every connection is closed.
+    Reset,
+    /// Nothing is worked on.
+    Still(bool),
+    /// So many times slower.
+    Slow(f64),
+    /// Part of its commands that fail at once; part of its answers that never go out.
+    Errors(f64),
+    Lose(f64),
+    /// Does not accept connections, while those it has go on.
+    Deaf(bool),
+    End,
+}
+
+/// What the list service would know of a node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Life {
+    pub up: bool,
+    /// Number of its run; 0 for the first, long past.
+    pub run: u64,
+    pub since: Micros,
+}
+
+pub struct Node {
+    faults: Sender<Fault>,
+    waker: Arc<Waker>,
+    pub life: Arc<Mutex<Life>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Node {
+    pub fn start(
+        index: u32,
+        address: SocketAddr,
+        target: &str,
+        model: Model,
+        trace: Trace,
+        seed: u64,
+    ) -> io::Result<Node> {
+        let (faults, receiver) = channel();
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        let life = Arc::new(Mutex::new(Life { up: true, run: 0, since: 0 }));
+        let listener = listen(address, &poll)?;
+        let target = target.to_owned();
+        let shared = Arc::clone(&life);
+        let thread = std::thread::Builder::new().name(format!("node{index}")).spawn(move || {
+            let clients = fresh_clients(&poll, &target, address);
+            let mut work = Work {
+                index,
+                address,
+                target,
+                poll,
+                clients,
+                listener: Some(listener),
+                model,
+                trace,
+                rng: Pcg64Mcg::seed_from_u64(seed),
+                blocks: HashMap::new(),
+                waiting: VecDeque::new(),
+                running: Vec::new(),
+                received: VecDeque::new(),
+                lines: HashMap::new(),
+                line: 0,
+                silent: false,
+                still: None,
+                deaf: false,
+                slow: 1.0,
+                errors: 0.0,
+                lose: 0.0,
+                fallen: false,
+                missed: HashSet::new(),
+                life: shared,
+                scratch: vec![0; 128 * 1024],
+            };
+            work.run(&receiver);
+        })?;
+        Ok(Node { faults, waker, life, thread: Some(thread) })
+    }
+
+    pub fn fault(&self, fault: Fault) {
+        let _ = self.faults.send(fault);
+        let _ = self.waker.wake();
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.fault(Fault::End);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn listen(address: SocketAddr, poll: &Poll) -> io::Result<TcpListener> {
+    let mut listener = TcpListener::bind(address)?;
+    poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+    Ok(listener)
+}
+
+fn fresh_clients(poll: &Poll, target: &str, address: SocketAddr) -> Clients {
+    let terms = TargetTerms {
+        wishes: Wishes::default(),
+        window: 64,
+        longest: 8 << 20,
+        names: vec![target.to_owned()],
+        address: address.to_string(),
+    };
+    let registry = poll.registry().try_clone().expect("a registry");
+    Clients::new(Door::new(target, 256), Rc::new(terms), registry, FIRST)
+}
+
+struct Item {
+    client: u32,
+    line: u64,
+    task: u32,
+    write: bool,
+    lba: u64,
+    blocks: u32,
+    data: Vec<u8>,
+    work: f64,
+    /// Its command was aborted: the work goes on, nobody is told.
+    orphan: bool,
+}
+
+struct Work {
+    index: u32,
+    address: SocketAddr,
+    target: String,
+    poll: Poll,
+    clients: Clients,
+    listener: Option<TcpListener>,
+    model: Model,
+    trace: Trace,
+    rng: Pcg64Mcg,
+    blocks: HashMap<u64, Box<[u8; block::SIZE]>>,
+    waiting: VecDeque<Item>,
+    running: Vec<(Micros, Item)>,
+    received: VecDeque<(Micros, f64)>,
+    /// Connection place to the number of the connection and the host on it.
+    lines: HashMap<u32, (u64, u32)>,
+    line: u64,
+    silent: bool,
+    still: Option<Micros>,
+    deaf: bool,
+    slow: f64,
+    errors: f64,
+    lose: f64,
+    fallen: bool,
+    /// Sockets that spoke while nobody listened.
+    missed: HashSet<usize>,
+    life: Arc<Mutex<Life>>,
+    scratch: Vec<u8>,
+}
+
+impl Work {
+    fn run(&mut self, faults: &Receiver<Fault>) {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let now = self.trace.now();
+            let due = self.running.iter().map(|r| r.0).min().filter(|_| self.still.is_none());
+            let wait = due.map_or(100_000, |d| d.saturating_sub(now).clamp(0, 100_000));
+            let _ = self.poll.poll(&mut events, Some(Duration::from_micros(wait)));
+            while let Ok(fault) = faults.try_recv() {
+                if fault == Fault::End {
+                    return;
+                }
+                self.fault(fault);
+            }
+            for event in events.iter() {
+                self.missed.insert(event.token().0);
+            }
+            if self.listener.is_none() {
+                self.missed.clear();
+                continue;
+            }
+            if !self.silent {
+                let mut spoke: Vec<usize> = self.missed.drain().collect();
+                spoke.sort_unstable();
+                for token in spoke {
+                    self.ready(Token(token));
+                }
+            }
+            self.serve();
+            if !self.silent {
+                let mut again = Vec::new();
+                self.clients.flush(self.ticks(), &mut again);
+                self.missed.extend(again.into_iter().map(|c| FIRST + c as usize));
+                while self.clients.left().is_some() {}
+            }
+        }
+    }
+
+    fn ticks(&self) -> i64 {
+        (self.trace.now() / 100) as i64
+    }
+
+    fn ready(&mut self, token: Token) {
+        let now = self.ticks();
+        match token {
+            LISTENER if self.deaf => {
+                self.missed.insert(LISTENER.0);
+            }
+            LISTENER => {
+                while let Some(Ok((socket, peer))) = self.listener.as_ref().map(|l| l.accept()) {
+                    self.clients.accept(socket, peer, now);
+                }
+            }
+            WAKER => {}
+            Token(t) => {
+                let at = (t - FIRST) as u32;
+                let mut more = self.clients.ready(at, true, &mut self.scratch, now);
+                loop {
+                    while let Some(came) = self.clients.came(at) {
+                        self.came(at, came);
+                    }
+                    if !more {
+                        break;
+                    }
+                    more = self.clients.read(at, &mut self.scratch, now);
+                }
+            }
+        }
+    }
+
+    fn came(&mut self, at: u32, came: Came) {
+        match came {
+            Came::LoggedIn(who) => {
+                self.line += 1;
+                // Hosts are named gwN by the scripts.
+                let host = who.initiator.rsplit(":gw").next().and_then(|n| n.parse().ok()).unwrap_or(0);
+                self.lines.insert(at, (self.line, host));
+                self.clients.close_replaced();
+            }
+            Came::Command { task, cdb, room, data, .. } => self.command(at, task, &cdb, room, data),
+            Came::Aborted { task } => {
+                let line = self.lines.get(&at).map_or(0, |l| l.0);
+                self.waiting.retain(|i| (i.line, i.task) != (line, task));
+                let running = self.running.iter_mut().map(|r| &mut r.1);
+                running.filter(|i| (i.line, i.task) == (line, task)).for_each(|i| i.orphan = true);
+            }
+            Came::Logout | Came::Alive => {}
+        }
+    }
+
+    fn command(&mut self, at: u32, task: u32, cdb: &[u8; 16], room: usize, data: Vec<u8>) {
+        let (write, lba, blocks, mark) = match scsi::read_cdb(cdb) {
+            Ok(Command::Read { lba, blocks, group }) => (false, lba, blocks, group),
+            Ok(Command::Write { lba, blocks, group }) => (true, lba, blocks, group),
+            other => return self.own(at, task, room, other),
+        };
+        let Some((line, host)) = self.lines.get(&at).copied() else { return };
+        let wrote = data
+            .chunks(block::SIZE)
+            .map(|b| b.first_chunk().map_or(0, |id| u64::from_le_bytes(*id)))
+            .collect();
+        self.trace.note(What::Got { node: self.index, host, line, task, write, lba, blocks, mark, wrote });
+        let bytes = u64::from(blocks) * block::SIZE as u64;
+        let units = bytes.div_ceil(self.model.unit_bytes).max(1) as f64;
+        if self.push_over(units) {
+            return;
+        }
+        if write && data.len() as u64 != bytes || self.rng.random::<f64>() < self.errors {
+            return self.say(at, line, task, status::CHECK_CONDITION, &[]);
+        }
+        if self.waiting.len() >= self.model.queue {
+            return self.say(at, line, task, status::TASK_SET_FULL, &[]);
+        }
+        let work = units * self.model.unit_work * self.rng.random_range(0.8..1.2);
+        let client = at;
+        self.waiting.push_back(Item { client, line, task, write, lba, blocks, data, work, orphan: false });
+    }
+
+    fn own(&mut self, at: u32, task: u32, room: usize, command: Result<Command, Sense>) {
+        let unit =
+            Unit { blocks: 1 << 40, block_size: 512, product: "stand-in", serial: "node", most: 1 << 14 };
+        let data = match command {
+            Ok(Command::TestUnitReady | Command::SynchronizeCache { .. }) => Some(Vec::new()),
+            Ok(Command::Inquiry { page, .. }) => unit.inquiry(page),
+            Ok(Command::ReadCapacity16 { .. }) => Some(unit.capacity16()),
+            Ok(Command::ReadCapacity10) => Some(unit.capacity10()),
+            _ => None,
+        };
+        if let Some(conn) = self.clients.answer(at) {
+            match data {
+                Some(data) => conn.good(task, &data[..data.len().min(room)]),
+                None => conn.other(task, status::CHECK_CONDITION, Some(Sense::INVALID_OPCODE), 0),
+            }
+        }
+    }
+
+    /// Counts what a cold node is sent; true once it has fallen over.
+    fn push_over(&mut self, units: f64) -> bool {
+        let life = *self.life.lock().expect("no writer panics");
+        let now = self.trace.now();
+        let age = now - life.since;
+        if life.run == 0 || age > self.model.cold_span {
+            return false;
+        }
+        self.received.push_back((now, units));
+        while self.received.front().is_some_and(|r| r.0 + self.model.fall_span < now) {
+            self.received.pop_front();
+        }
+        let sum: f64 = self.received.iter().map(|r| r.1).sum();
+        if sum > self.model.bears(age) {
+            self.fallen = true;
+            self.trace.note(What::Fell { node: self.index });
+            self.fault(Fault::Crash);
+        }
+        self.fallen
+    }
+
+    /// Begins and finishes work.
+    fn serve(&mut self) {
+        if self.still.is_some() {
+            return;
+        }
+        let now = self.trace.now();
+        let mut i = 0;
+        while i < self.running.len() {
+            if self.running[i].0 <= now {
+                let (_, item) = self.running.swap_remove(i);
+                self.finish(item);
+            } else {
+                i += 1;
+            }
+        }
+        while self.running.len() < self.model.cores {
+            let Some(item) = self.waiting.pop_front() else { break };
+            let life = *self.life.lock().expect("no writer panics");
+            let warmth = if life.run == 0 { 1.0 } else { self.model.warmth(now - life.since) };
+            let work = item.work * self.slow / warmth;
+            if work < 1.0 {
+                self.finish(item);
+            } else {
+                self.running.push((now + work as Micros, item));
+            }
+        }
+    }
+
+    fn finish(&mut self, item: Item) {
+        let mut data = Vec::new();
+        for i in 0..u64::from(item.blocks) {
+            let at = i as usize * block::SIZE;
+            if item.write {
+                let place = self.blocks.entry(item.lba + i).or_insert_with(|| Box::new([0; block::SIZE]));
+                place.copy_from_slice(&item.data[at..at + block::SIZE]);
+            } else {
+                match self.blocks.get(&(item.lba + i)) {
+                    Some(block) => data.extend_from_slice(&block[..]),
+                    None => data.resize(at + block::SIZE, 0),
+                }
+            }
+        }
+        if !item.orphan && self.rng.random::<f64>() >= self.lose {
+            self.say(item.client, item.line, item.task, status::GOOD, &data);
+        }
+    }
+
+    fn say(&mut self, at: u32, line: u64, task: u32, code: u8, data: &[u8]) {
+        // The connection may be another one by now.
+        if self.lines.get(&at).is_none_or(|l| l.0 != line) {
+            return;
+        }
+        let Some(conn) = self.clients.answer(at) else { return };
+        self.trace.note(What::Said { node: self.index, line, task, status: code });
+        match code {
+            status::GOOD => conn.good(task, data),
+            status::CHECK_CONDITION => conn.other(task, code, Some(Sense::MEDIUM), 0),
+            _ => conn.other(task, code, None, 0),
+        }
+    }
+
+    fn close_all(&mut self) {
+        self.clients = fresh_clients(&self.poll, &self.target, self.address);
+        self.lines.clear();
+        self.missed.retain(|t| *t < FIRST);
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Silent(on) => self.silent = on,
+            Fault::Still(true) => self.still = self.still.or(Some(self.trace.now())),
+            Fault::Still(false) => {
+                if let Some(since) = self.still.take() {
+                    let pause = self.trace.now() - since;
+                    self.running.iter_mut().for_each(|r| r.0 += pause);
+                }
+            }
+            Fault::Slow(times) => self.slow = times,
+            Fault::Errors(part) => self.errors = part,
+            Fault::Lose(part) => self.lose = part,
+            Fault::Deaf(on) => self.deaf = on,
+            Fault::Reset => self.close_all(),
+            Fault::Crash => {
+                if self.listener.take().is_some() {
+                    self.close_all();
+                    self.waiting.clear();
+                    self.running.clear();
+                    self.life.lock().expect("no writer panics").up = false;
+                    self.trace.note(What::Down { node: self.index });
+                }
+            }
+            Fault::Start => {
+                if self.listener.is_none() && !self.fallen {
+                    // The address may still be held for a moment by the run before.
+                    for _ in 0..100 {
+                        match listen(self.address, &self.poll) {
+                            Ok(listener) => {
+                                self.listener = Some(listener);
+                                break;
+                            }
+                            Err(_) => std::thread::sleep(Duration::from_millis(10)),
+                        }
+                    }
+                    (self.silent, self.still, self.slow, self.deaf) = (false, None, 1.0, false);
+                    self.received.clear();
+                    let mut life = self.life.lock().expect("no writer panics");
+                    *life = Life { up: true, run: life.run + 1, since: self.trace.now() };
+                    self.trace.note(What::Up { node: self.index });
+                }
+            }
+            Fault::End => {}
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! lists every directive. A file is read whole: all its problems come back together, each with line, column,
 //! what stood there and what was expected.
 mod check;
-mod lines;
+pub mod lines;
 mod read;
 pub mod site;
 
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -19,20 +19,20 @@
 }
 
 impl Problems {
-    pub(crate) fn new(file: &str) -> Self {
+    pub fn new(file: &str) -> Self {
         Problems { file: file.to_owned(), list: Vec::new() }
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.list.is_empty()
     }
 
-    pub(crate) fn add(&mut self, at: At, expected: impl Into<String>, found: impl Into<String>) {
+    pub fn add(&mut self, at: At, expected: impl Into<String>, found: impl Into<String>) {
         let (expected, found) = (expected.into(), found.into());
         self.list.push(Problem { line: at.line, column: at.column, expected, found });
     }
 
-    pub(crate) fn sorted(mut self) -> Self {
+    pub fn sorted(mut self) -> Self {
         self.list.sort();
         self.list.dedup();
         self
@@ -54,19 +54,19 @@
 
 /// A place in the file.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct At {
+pub struct At {
     pub line: usize,
     pub column: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Word {
+pub struct Word {
     pub text: String,
     pub at: At,
 }
 
 /// The words of a line: split at blanks, `"…"` keeps blanks, `#` opens a comment.
-pub(crate) fn words(line: usize, text: &str, problems: &mut Problems) -> Vec<Word> {
+pub fn words(line: usize, text: &str, problems: &mut Problems) -> Vec<Word> {
     let mut found = Vec::new();
     let mut chars = text.chars().enumerate().peekable();
     while let Some((i, c)) = chars.next() {
@@ -103,7 +103,7 @@
 
 /// The words behind a directive, taken in turn. A value that is missing or wrong is noted once and the rest
 /// of the line let be.
-pub(crate) struct Args<'a> {
+pub struct Args<'a> {
     words: &'a [Word],
     next: usize,
     end: At,
