--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -51,6 +51,16 @@
         task: u32,
         status: u8,
     },
+    /// A node was told to drop one; a connection with whatever was open on it closed.
+    CalledOff {
+        node: u32,
+        line: u64,
+        task: u32,
+    },
+    Closed {
+        node: u32,
+        line: u64,
+    },
     /// A node's process came up, or is over.
     Up {
         node: u32,
