--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -324,6 +324,7 @@
         }
         let Some((line, host)) = self.lines.get(&at).copied() else { return };
         if let Came::Command { task, cdb, data, .. } = &came
+            && self.trace.is_on()
             && let Some((write, lba, blocks, mark)) = read_or_write(cdb)
         {
             let id = |b: &[u8]| b.first_chunk().map_or(0, |id| u64::from_le_bytes(*id));
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -97,21 +97,34 @@
 #[derive(Clone)]
 pub struct Trace {
     began: Instant,
+    on: bool,
     seen: Arc<Mutex<Vec<Seen>>>,
 }
 
 impl Default for Trace {
     fn default() -> Self {
-        Trace { began: Instant::now(), seen: Arc::default() }
+        Trace { began: Instant::now(), on: true, seen: Arc::default() }
     }
 }
 
 impl Trace {
+    /// One that keeps time and nothing else.
+    pub fn off() -> Self {
+        Trace { on: false, ..Trace::default() }
+    }
+
+    pub fn is_on(&self) -> bool {
+        self.on
+    }
+
     pub fn now(&self) -> Micros {
         self.began.elapsed().as_micros() as Micros
     }
 
     pub fn note(&self, what: What) {
+        if !self.on {
+            return;
+        }
         let at = self.now();
         self.seen.lock().expect("no writer panics").push(Seen { at, what });
     }
