--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -11,7 +11,8 @@
 /// Data of a write, shared with whoever may send it again.
 #[derive(Clone, Debug, Default)]
 pub struct Payload {
-    bytes: Rc<Vec<u8>>,
+    /// None where there is nothing: a read's.
+    bytes: Option<Rc<Vec<u8>>>,
     from: usize,
     to: usize,
 }
@@ -19,17 +20,17 @@
 impl Payload {
     /// A piece of it: `len` bytes from `from` on.
     pub fn piece(&self, from: usize, len: usize) -> Payload {
-        Payload { bytes: Rc::clone(&self.bytes), from: self.from + from, to: self.from + from + len }
+        Payload { bytes: self.bytes.clone(), from: self.from + from, to: self.from + from + len }
     }
 
     pub fn bytes(&self) -> &[u8] {
-        &self.bytes[self.from..self.to]
+        self.bytes.as_ref().map_or(&[], |b| &b[self.from..self.to])
     }
 }
 
 impl From<Vec<u8>> for Payload {
     fn from(bytes: Vec<u8>) -> Self {
-        Payload { from: 0, to: bytes.len(), bytes: Rc::new(bytes) }
+        Payload { from: 0, to: bytes.len(), bytes: (!bytes.is_empty()).then(|| Rc::new(bytes)) }
     }
 }
 
@@ -318,7 +319,7 @@
             self.exp_stat_sn = self.exp_stat_sn.wrapping_add(1);
         }
         match bhs.opcode() {
-            op::DATA_IN => self.data_in(&pdu)?,
+            op::DATA_IN => self.data_in(pdu)?,
             op::SCSI_RESPONSE => self.response(&pdu),
             op::R2T => self.r2t(&bhs)?,
             op::NOP_IN => self.ping(&pdu),
@@ -351,8 +352,8 @@
         self.outs.get(at)?.as_ref().filter(|o| o.itt == itt).map(|_| at)
     }
 
-    fn data_in(&mut self, pdu: &Pdu) -> Result<(), Fault> {
-        let bhs = &pdu.bhs;
+    fn data_in(&mut self, pdu: Pdu) -> Result<(), Fault> {
+        let bhs = pdu.bhs;
         let Some(at) = self.find(bhs.itt()) else {
             self.strays += u64::from(bhs.flags() & flag::STATUS != 0);
             return Ok(());
@@ -362,10 +363,15 @@
             if bhs.offset() as usize != out.read.len() || out.read.len() + pdu.data.len() > out.room {
                 return Err(Fault(format!("data at {}, expected at {}", bhs.offset(), out.read.len())));
             }
-            if out.read.is_empty() {
-                out.read.reserve_exact(out.room);
+            if out.read.is_empty() && pdu.data.len() == out.room {
+                // All in one PDU, as most are: its buffer is the answer's.
+                out.read = pdu.data;
+            } else {
+                if out.read.is_empty() {
+                    out.read.reserve_exact(out.room);
+                }
+                out.read.extend_from_slice(&pdu.data);
             }
-            out.read.extend_from_slice(&pdu.data);
         }
         if bhs.flags() & flag::STATUS != 0 {
             self.finish(at, bhs.byte(3), None, 0);
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -1,16 +1,15 @@
 //! Clients at a node directly, beside clients through a host to the same node, in turn within one run.
 use crate::block;
+use crate::counter::Counter;
 use crate::node::{Model, Node};
 use crate::rehearse::Program;
 use crate::trace::Trace;
 use hdrhistogram::Histogram;
-use mallowseam_iscsi::initiator::{Came, InitiatorConn};
-use mallowseam_iscsi::params::Wishes;
+use mallowseam_iscsi::initiator::Came;
 use mallowseam_iscsi::scsi::{self, status};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::fmt::Write as _;
-use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -110,7 +109,7 @@
     let before = resident(host.0.id())?;
     let mut idle = Vec::new();
     for i in 0..options.idle {
-        idle.push(Counter::open(host_at, GATEWAY, 1000 + i)?);
+        idle.push(Counter::open(host_at, Some(GATEWAY), 1000 + i)?);
     }
     let after = resident(host.0.id())?;
     let turned: u64 = many.1.iter().chain(&single.1).map(|p| p.turned).sum();
@@ -168,40 +167,6 @@
     )
 }
 
-/// A blocking client.
-struct Counter {
-    socket: TcpStream,
-    conn: InitiatorConn,
-}
-
-impl Counter {
-    fn open(address: SocketAddr, target: &str, index: u32) -> Result<Counter, String> {
-        let socket = TcpStream::connect(address).map_err(|e| e.to_string())?;
-        let _ = socket.set_nodelay(true);
-        let name = format!("iqn.2026-12.example.lab:bench{index}");
-        let conn = InitiatorConn::new(&name, Some(target), [0x80, 0, 0, 0, 0, 0], &Wishes::default());
-        let mut counter = Counter { socket, conn };
-        let mut scratch = vec![0; 64 * 1024];
-        while !counter.conn.logged_in() {
-            counter.exchange(&mut scratch)?;
-        }
-        counter.conn.came();
-        Ok(counter)
-    }
-
-    /// Writes all that waits, then reads once.
-    fn exchange(&mut self, scratch: &mut [u8]) -> Result<(), String> {
-        let waiting = self.conn.out().waiting().len();
-        self.socket.write_all(self.conn.out().waiting()).map_err(|e| e.to_string())?;
-        self.conn.out().wrote(waiting);
-        let n = self.socket.read(scratch).map_err(|e| e.to_string())?;
-        if n == 0 {
-            return Err("connection closed".into());
-        }
-        self.conn.receive(&scratch[..n]).map_err(|e| e.0)
-    }
-}
-
 fn phase(
     address: SocketAddr,
     target: &str,
@@ -240,9 +205,8 @@
     seconds: u64,
     seed: u64,
 ) -> Result<Phase, String> {
-    let mut counter = Counter::open(address, target, index)?;
+    let mut counter = Counter::open(address, Some(target), index)?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut scratch = vec![0; 128 * 1024];
     let mut sent: Vec<Option<Instant>> = vec![None; depth];
     let mut waits = Histogram::new_with_bounds(1, 60_000_000_000, 3).map_err(|e| e.to_string())?;
     let (mut count, mut turned) = (0u64, 0);
@@ -264,7 +228,7 @@
         if over && sent.iter().all(Option::is_none) {
             break;
         }
-        counter.exchange(&mut scratch)?;
+        counter.exchange()?;
         while let Some(came) = counter.conn.came() {
             let Came::Answer { tag, status: code, .. } = came else { continue };
             if let Some(at) = sent[tag as usize].take() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod bench;
 pub mod block;
+pub mod counter;
 pub mod listd;
 pub mod load;
 pub mod node;
