--- /dev/null
+++ b/crates/cow/src/lib.rs
@@ -0,0 +1,15 @@
+//! Snapshots and clones by copy on write, free of I/O, clocks and threads. `docs/snapshots.md` tells the ways
+//! weighed and the promise.
+//!
+//! - `tree`: layers, branches and snapshots, changed by one numbered change after another; the catalog and
+//!   every host apply the same changes and so hold the same tree.
+//! - `cut`: when a snapshot may be granted.
+//! - `leases`: when a change counts everywhere.
+//! - `cache`: what a host does with a block I/O, by what it knows of the tree.
+pub mod cache;
+pub mod cut;
+pub mod leases;
+pub mod tree;
+
+/// Milliseconds on one's own clock, or a span of them.
+pub type Millis = u64;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -29,7 +29,7 @@
 struct Volume {
     name: String,
     plan: u16,
-    lun: u16,
+    lun: u32,
     blocks: u64,
     block_size: u32,
     hosts: u32,
@@ -102,7 +102,7 @@
         let volume = |v: &site::Volume| Volume {
             name: v.name.clone(),
             plan: v.plan as u16,
-            lun: v.lun,
+            lun: v.lun.into(),
             blocks: v.blocks,
             block_size: v.block_size,
             hosts: v.hosts,
@@ -340,7 +340,7 @@
         scheduler: &mut Scheduler,
         client: u32,
         task: u32,
-        lun: Option<u16>,
+        lun: Option<u32>,
         cdb: &[u8; 16],
         room: usize,
         data: Vec<u8>,
@@ -502,6 +502,7 @@
             Scsi::ReadCapacity10 => Some(unit.capacity10()),
             Scsi::ReadCapacity16 { room } => Some(cut(unit.capacity16(), room)),
             Scsi::ModeSense { ten, page, room } => unit.mode(ten, page).map(|d| cut(d, room)),
+            Scsi::ModeSelect | Scsi::Unmap => None,
             Scsi::Read { .. } | Scsi::Write { .. } | Scsi::ReportLuns { .. } | Scsi::RequestSense { .. } => {
                 None
             }
@@ -557,6 +558,7 @@
             (part.from as usize * command.block_size, part.blocks as usize * command.block_size);
         let order = Order {
             tag,
+            lun: None,
             cdb: scsi::rw16(command.write, part.node_lba, part.blocks, command.mark),
             room: if command.write { 0 } else { len },
             data: if command.write { command.data.piece(from, len) } else { Payload::default() },
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -17,6 +17,8 @@
 #[derive(Clone)]
 pub struct Order {
     pub tag: u32,
+    /// None: the one that the configuration names.
+    pub lun: Option<u32>,
     pub cdb: [u8; 16],
     pub room: usize,
     pub data: Payload,
@@ -38,7 +40,7 @@
     pub name: String,
     address: SocketAddr,
     target: String,
-    lun: u16,
+    lun: u32,
     pub line: Line,
     link: Option<Link>,
     queue: VecDeque<Order>,
@@ -69,7 +71,7 @@
             name: n.name.clone(),
             address: n.address.expect("checked"),
             target: n.target.clone(),
-            lun: n.lun,
+            lun: n.lun.into(),
             line: Line::default(),
             link: None,
             queue: VecDeque::new(),
@@ -107,8 +109,8 @@
         let node = &mut self.all[at];
         if node.line.is_up() {
             let link = node.link.as_mut().expect("a line that is up has a link");
-            let Order { cdb, room, data, .. } = order;
-            if link.conn.command(tag, node.lun, &cdb, room, data) {
+            let Order { cdb, room, data, lun, .. } = order;
+            if link.conn.command(tag, lun.unwrap_or(node.lun), &cdb, room, data) {
                 self.mark(at);
             } else {
                 // The node's own window is closed: it has turned the command away before it was sent.
--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -65,7 +65,7 @@
 struct Out {
     tag: u32,
     itt: u32,
-    lun: u16,
+    lun: u32,
     read: Vec<u8>,
     room: usize,
     write: Payload,
@@ -135,7 +135,7 @@
 
     /// Sends a command: `room` bytes of data are expected back, `write` goes out with it. False, and nothing
     /// sent, while the target's window is closed.
-    pub fn command(&mut self, tag: u32, lun: u16, cdb: &[u8; 16], room: usize, write: Payload) -> bool {
+    pub fn command(&mut self, tag: u32, lun: u32, cdb: &[u8; 16], room: usize, write: Payload) -> bool {
         let data = write.bytes();
         if !self.may_send() {
             return false;
@@ -225,7 +225,7 @@
     }
 
     /// Resets a logical unit: commands out there get no answer.
-    pub fn reset_lun(&mut self, lun: u16) {
+    pub fn reset_lun(&mut self, lun: u32) {
         let bhs = Bhs::new(op::TASK_REQUEST, flag::FINAL | task::LUN_RESET)
             .with_immediate()
             .with_lun(lun)
--- a/crates/iscsi/src/pdu.rs
+++ b/crates/iscsi/src/pdu.rs
@@ -135,19 +135,22 @@
         self.0[5..8].copy_from_slice(&(len as u32).to_be_bytes()[1..]);
     }
 
-    /// The LUN by flat or peripheral addressing (SAM-5, 4.7); none for anything else.
-    pub fn lun(&self) -> Option<u16> {
-        if self.0[10..16].iter().any(|b| *b != 0) {
+    /// The LUN by peripheral, flat or extended flat addressing (SAM-5, 4.7); none for anything else.
+    pub fn lun(&self) -> Option<u32> {
+        let (bytes, rest) = (&self.0[8..12], &self.0[12..16]);
+        if rest.iter().any(|b| *b != 0) {
             return None;
         }
-        match self.0[8] >> 6 {
-            0 if self.0[8] == 0 => Some(u16::from(self.0[9])),
-            1 => Some((u16::from(self.0[8] & 0x3f) << 8) | u16::from(self.0[9])),
+        let low = u32::from_be_bytes([0, bytes[1], bytes[2], bytes[3]]);
+        match bytes[0] {
+            EXTENDED_FLAT => Some(low),
+            0 if low & 0xffff == 0 => Some(low >> 16),
+            0x40..=0x7f if low & 0xffff == 0 => Some(u32::from(bytes[0] & 0x3f) << 8 | low >> 16),
             _ => None,
         }
     }
 
-    pub fn with_lun(mut self, lun: u16) -> Self {
+    pub fn with_lun(mut self, lun: u32) -> Self {
         self.0[8..16].copy_from_slice(&lun_bytes(lun));
         self
     }
@@ -248,11 +251,22 @@
     }
 }
 
-/// A LUN as eight bytes: peripheral addressing below 256, flat above.
-pub fn lun_bytes(lun: u16) -> [u8; 8] {
+/// Extended logical unit addressing with 24 bits (SAM-5, 4.7.11).
+const EXTENDED_FLAT: u8 = 0xd2;
+/// Largest LUN that can be named here.
+pub const LUN_MOST: u32 = 0xff_ffff;
+
+/// A LUN as eight bytes: peripheral addressing below 256, flat below 16384, extended flat above.
+pub fn lun_bytes(lun: u32) -> [u8; 8] {
     let mut bytes = [0; 8];
-    bytes[0] = if lun > 255 { 0x40 | (lun >> 8) as u8 } else { 0 };
-    bytes[1] = lun as u8;
+    match lun {
+        0..256 => bytes[1] = lun as u8,
+        256..16_384 => (bytes[0], bytes[1]) = (0x40 | (lun >> 8) as u8, lun as u8),
+        _ => {
+            bytes[..4].copy_from_slice(&lun.to_be_bytes());
+            bytes[0] = EXTENDED_FLAT;
+        }
+    }
     bytes
 }
 
--- a/crates/iscsi/src/scsi.rs
+++ b/crates/iscsi/src/scsi.rs
@@ -23,6 +23,8 @@
     pub const POWER_ON: Sense = Sense(0x06, 0x29, 0x00);
     pub const CAPACITY_CHANGED: Sense = Sense(0x06, 0x2a, 0x09);
     pub const DATA_PHASE: Sense = Sense(0x0b, 0x4b, 0x00);
+    /// Write protected: it has not run.
+    pub const WRITE_PROTECTED: Sense = Sense(0x07, 0x27, 0x00);
     pub const MEDIUM: Sense = Sense(0x03, 0x11, 0x00);
 
     /// Fixed format, current error: 18 bytes.
@@ -43,15 +45,44 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Command {
     TestUnitReady,
-    RequestSense { room: usize },
-    Inquiry { page: Option<u8>, room: usize },
-    ReportLuns { select: u8, room: usize },
+    RequestSense {
+        room: usize,
+    },
+    Inquiry {
+        page: Option<u8>,
+        room: usize,
+    },
+    ReportLuns {
+        select: u8,
+        room: usize,
+    },
     ReadCapacity10,
-    ReadCapacity16 { room: usize },
-    Read { lba: u64, blocks: u32, group: u8 },
-    Write { lba: u64, blocks: u32, group: u8 },
-    SynchronizeCache { lba: u64, blocks: u32 },
-    ModeSense { ten: bool, page: u8, room: usize },
+    ReadCapacity16 {
+        room: usize,
+    },
+    Read {
+        lba: u64,
+        blocks: u32,
+        group: u8,
+    },
+    Write {
+        lba: u64,
+        blocks: u32,
+        group: u8,
+    },
+    SynchronizeCache {
+        lba: u64,
+        blocks: u32,
+    },
+    ModeSense {
+        ten: bool,
+        page: u8,
+        room: usize,
+    },
+    /// Its data says what to change.
+    ModeSelect,
+    /// Its data lists runs of blocks that are given back.
+    Unmap,
 }
 
 fn be16(b: &[u8]) -> u16 {
@@ -81,6 +112,8 @@
             Ok(Command::Inquiry { page, room: usize::from(be16(&cdb[3..])) })
         }
         0x1a => Ok(Command::ModeSense { ten: false, page: cdb[2] & 0x3f, room: usize::from(cdb[4]) }),
+        0x15 if cdb[1] & 0x10 != 0 => Ok(Command::ModeSelect),
+        0x42 => Ok(Command::Unmap),
         0x5a => Ok(Command::ModeSense { ten: true, page: cdb[2] & 0x3f, room: usize::from(be16(&cdb[7..])) }),
         0x25 => Ok(Command::ReadCapacity10),
         0x28 => protect(Command::Read { lba: lba32, blocks: len16, group: cdb[6] & 0x1f }),
@@ -111,6 +144,46 @@
     cdb
 }
 
+/// MODE SELECT (6) of the control page: software write protect on or off (SPC-4, 7.5.8). Command and data.
+pub fn write_protect(on: bool) -> ([u8; 16], Vec<u8>) {
+    let mut data = vec![0; 16];
+    (data[4], data[5], data[8]) = (0x0a, 10, if on { 0x08 } else { 0 });
+    let mut cdb = [0; 16];
+    (cdb[0], cdb[1], cdb[4]) = (0x15, 0x10, data.len() as u8);
+    (cdb, data)
+}
+
+/// What the data of a MODE SELECT (6) asks for; none for anything but the control page.
+pub fn read_write_protect(data: &[u8]) -> Option<bool> {
+    let sound = data.len() == 16 && data[3] == 0 && data[4] & 0x3f == 0x0a && data[5] == 10;
+    sound.then(|| data[8] & 0x08 != 0)
+}
+
+/// UNMAP (SBC-3, 5.28) of runs of blocks, 4095 at most. Command and data.
+pub fn unmap(runs: &[(u64, u32)]) -> ([u8; 16], Vec<u8>) {
+    let len = runs.len() * 16;
+    let mut data = vec![0; 8];
+    data[..2].copy_from_slice(&((len + 6) as u16).to_be_bytes());
+    data[2..4].copy_from_slice(&(len as u16).to_be_bytes());
+    for (lba, blocks) in runs {
+        data.extend_from_slice(&lba.to_be_bytes());
+        data.extend_from_slice(&blocks.to_be_bytes());
+        data.extend_from_slice(&[0; 4]);
+    }
+    let mut cdb = [0; 16];
+    cdb[0] = 0x42;
+    cdb[7..9].copy_from_slice(&(data.len() as u16).to_be_bytes());
+    (cdb, data)
+}
+
+/// The runs that the data of an UNMAP lists; none where its lengths do not fit.
+pub fn read_unmap(data: &[u8]) -> Option<Vec<(u64, u32)>> {
+    let len = usize::from(be16(data.get(2..4)?));
+    let list = data.get(8..)?;
+    (len == list.len() && len.is_multiple_of(16))
+        .then(|| list.chunks_exact(16).map(|d| (be64(d), be32(&d[8..]))).collect())
+}
+
 /// What a logical unit says of itself. The serial is what tells one volume from another.
 pub struct Unit<'a> {
     pub blocks: u64,
@@ -214,7 +287,7 @@
 }
 
 /// REPORT LUNS data; `select` 1 asks for well-known units, of which there are none.
-pub fn report_luns(luns: impl Iterator<Item = u16>, select: u8) -> Vec<u8> {
+pub fn report_luns(luns: impl Iterator<Item = u32>, select: u8) -> Vec<u8> {
     let mut out = vec![0; 8];
     if select != 1 {
         for lun in luns {
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -28,7 +28,7 @@
     /// All of its data is here.
     Command {
         task: u32,
-        lun: Option<u16>,
+        lun: Option<u32>,
         cdb: [u8; 16],
         room: usize,
         data: Vec<u8>,
@@ -62,7 +62,7 @@
 /// A command in hand.
 struct Task {
     itt: u32,
-    lun: Option<u16>,
+    lun: Option<u32>,
     cdb: [u8; 16],
     room: usize,
     read: bool,
--- a/crates/iscsi/tests/sessions.rs
+++ b/crates/iscsi/tests/sessions.rs
@@ -166,7 +166,7 @@
 fn a_reset_unit_drops_its_commands_and_no_others() {
     let mut pair = Pair::new(Wishes::default(), Wishes::default(), 4096);
     for lun in [1, 2] {
-        pair.initiator.command(lun.into(), lun, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
+        pair.initiator.command(lun, lun, &scsi::rw16(false, 0, 1, 0), 512, vec![].into());
     }
     pair.initiator.reset_lun(1);
     pair.run();
@@ -244,12 +244,12 @@
 
 #[test]
 fn a_lun_reads_back_in_both_ways_of_addressing() {
-    for lun in [0, 1, 255, 256, 16_383] {
+    for lun in [0, 1, 255, 256, 16_383, 16_384, 0xff_ffff] {
         assert_eq!(Bhs::new(op::SCSI_COMMAND, 0).with_lun(lun).lun(), Some(lun));
     }
     let mut bhs = Bhs::new(op::SCSI_COMMAND, 0);
     bhs.0[8..16].copy_from_slice(&lun_bytes(3));
-    bhs.0[12] = 1;
+    bhs.0[13] = 1;
     assert_eq!(bhs.lun(), None);
 }
 
@@ -268,6 +268,22 @@
     assert_eq!(usize::from(mode[0]), mode.len() - 1);
 }
 
+#[test]
+fn write_protection_and_unmap_read_back_and_cut_ones_do_not() {
+    for on in [true, false] {
+        let (cdb, data) = scsi::write_protect(on);
+        assert_eq!(
+            (scsi::read_cdb(&cdb), scsi::read_write_protect(&data)),
+            (Ok(Command::ModeSelect), Some(on))
+        );
+        assert_eq!(scsi::read_write_protect(&data[..15]), None);
+    }
+    let runs = vec![(1 << 40, 7), (9, u32::MAX)];
+    let (cdb, data) = scsi::unmap(&runs);
+    assert_eq!((scsi::read_cdb(&cdb), scsi::read_unmap(&data)), (Ok(Command::Unmap), Some(runs)));
+    assert_eq!(scsi::read_unmap(&data[..30]), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/counter.rs
@@ -70,7 +70,7 @@
     }
 
     /// One command and its answer.
-    pub fn ask(&mut self, lun: u16, cdb: &[u8; 16], room: usize, write: Vec<u8>) -> Result<Answer, String> {
+    pub fn ask(&mut self, lun: u32, cdb: &[u8; 16], room: usize, write: Vec<u8>) -> Result<Answer, String> {
         self.tag += 1;
         let wanted = self.tag;
         if !self.conn.command(wanted, lun, cdb, room, write.into()) {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -29,7 +29,7 @@
 /// What clients need to know of a volume.
 #[derive(Clone, Debug)]
 pub struct Volume {
-    pub lun: u16,
+    pub lun: u32,
     pub blocks: u64,
     pub plan: String,
     /// Hard limits of its reads and writes.
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -187,7 +187,7 @@
             site.groups[rule.expect("checked").group].hard_limit
         };
         let volume = |v: &mallowseam_settings::site::Volume| load::Volume {
-            lun: v.lun,
+            lun: v.lun.into(),
             blocks: v.blocks,
             plan: site.plans[v.plan].name.clone(),
             read_limit: limit(v, Direction::Read),
