--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -227,7 +227,7 @@
                     self.verdict.doubled += 1;
                     self.broken(0, format!("at {} client {client} got an answer too many", seconds(s.at)));
                 }
-                What::Got { node, line, task, write, lba, blocks, mark, wrote, host } => {
+                What::Got { node, line, task, lun: _, write, lba, blocks, mark, wrote, host } => {
                     self.verdict.submits += 1;
                     let Some((volume, lba)) = self.volume_of(*node, *lba) else {
                         self.broken(0, format!("at {} node{node} got blocks of no volume", seconds(s.at)));
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -122,6 +122,8 @@
                 trace,
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 blocks: HashMap::new(),
+                closed: HashSet::new(),
+                closing: Vec::new(),
                 waiting: VecDeque::new(),
                 running: Vec::new(),
                 received: VecDeque::new(),
@@ -189,6 +191,7 @@
     client: u32,
     line: u64,
     task: u32,
+    lun: u32,
     write: bool,
     lba: u64,
     blocks: u32,
@@ -208,7 +211,10 @@
     model: Model,
     trace: Trace,
     rng: Pcg64Mcg,
-    blocks: HashMap<u64, Box<[u8; block::SIZE]>>,
+    blocks: HashMap<(u32, u64), Box<[u8; block::SIZE]>>,
+    /// Units closed to writes, and who waits until what runs there is over.
+    closed: HashSet<u32>,
+    closing: Vec<(u32, u64, u32, u32)>,
     waiting: VecDeque<Item>,
     running: Vec<(Micros, Item)>,
     received: VecDeque<(Micros, f64)>,
@@ -323,23 +329,14 @@
             return;
         }
         let Some((line, host)) = self.lines.get(&at).copied() else { return };
-        if let Came::Command { task, cdb, data, .. } = &came
+        if let Came::Command { task, cdb, data, lun, .. } = &came
             && self.trace.is_on()
             && let Some((write, lba, blocks, mark)) = read_or_write(cdb)
         {
             let id = |b: &[u8]| b.first_chunk().map_or(0, |id| u64::from_le_bytes(*id));
-            let (task, wrote) = (*task, data.chunks(block::SIZE).map(id).collect());
-            self.trace.note(What::Got {
-                node: self.index,
-                host,
-                line,
-                task,
-                write,
-                lba,
-                blocks,
-                mark,
-                wrote,
-            });
+            let (task, lun) = (*task, lun.unwrap_or(0));
+            let (node, wrote) = (self.index, data.chunks(block::SIZE).map(id).collect());
+            self.trace.note(What::Got { node, host, line, task, lun, write, lba, blocks, mark, wrote });
         }
         if let Came::Aborted { task } = came {
             self.trace.note(What::CalledOff { node: self.index, line, task });
@@ -353,7 +350,9 @@
 
     fn work_on(&mut self, at: u32, line: u64, came: Came) {
         match came {
-            Came::Command { task, cdb, room, data, .. } => self.command(at, line, task, &cdb, room, data),
+            Came::Command { task, lun, cdb, room, data } => {
+                self.command(at, line, task, lun.unwrap_or(0), &cdb, room, data);
+            }
             Came::Aborted { task } => {
                 self.waiting.retain(|i| (i.line, i.task) != (line, task));
                 let running = self.running.iter_mut().map(|r| &mut r.1);
@@ -363,9 +362,23 @@
         }
     }
 
-    fn command(&mut self, at: u32, line: u64, task: u32, cdb: &[u8; 16], room: usize, data: Vec<u8>) {
+    #[allow(clippy::too_many_arguments)]
+    fn command(
+        &mut self,
+        at: u32,
+        line: u64,
+        task: u32,
+        lun: u32,
+        cdb: &[u8; 16],
+        room: usize,
+        data: Vec<u8>,
+    ) {
         let Some((write, lba, blocks, _)) = read_or_write(cdb) else {
-            return self.own(at, task, room, scsi::read_cdb(cdb));
+            match scsi::read_cdb(cdb) {
+                Ok(Command::ModeSelect) => return self.close_unit(at, line, task, lun, &data),
+                Ok(Command::Unmap) => return self.give_back(at, task, lun, &data),
+                other => return self.own(at, task, room, other),
+            }
         };
         let bytes = u64::from(blocks) * block::SIZE as u64;
         let units = bytes.div_ceil(self.model.unit_bytes).max(1) as f64;
@@ -380,7 +393,62 @@
         }
         let work = units * self.model.unit_work * self.rng.random_range(0.8..1.2);
         let client = at;
-        self.waiting.push_back(Item { client, line, task, write, lba, blocks, data, work, orphan: false });
+        self.waiting.push_back(Item {
+            client,
+            line,
+            task,
+            lun,
+            write,
+            lba,
+            blocks,
+            data,
+            work,
+            orphan: false,
+        });
+    }
+
+    /// Closes a unit to writes, or opens it. Answered once what runs there is over, so that nothing lands later.
+    fn close_unit(&mut self, at: u32, line: u64, task: u32, lun: u32, data: &[u8]) {
+        match scsi::read_write_protect(data) {
+            Some(true) => {
+                self.closed.insert(lun);
+                self.closing.push((at, line, task, lun));
+                self.closed_by_now();
+            }
+            Some(false) => {
+                self.closed.remove(&lun);
+                self.say(at, line, task, status::GOOD, &[]);
+            }
+            None => self.refuse(at, task, Sense::INVALID_FIELD),
+        }
+    }
+
+    fn closed_by_now(&mut self) {
+        for (at, line, task, lun) in std::mem::take(&mut self.closing) {
+            if self.running.iter().any(|r| r.1.lun == lun && r.1.write) {
+                self.closing.push((at, line, task, lun));
+            } else {
+                self.say(at, line, task, status::GOOD, &[]);
+            }
+        }
+    }
+
+    fn give_back(&mut self, at: u32, task: u32, lun: u32, data: &[u8]) {
+        let Some(runs) = scsi::read_unmap(data) else {
+            return self.refuse(at, task, Sense::INVALID_FIELD);
+        };
+        for (lba, blocks) in runs {
+            self.blocks.retain(|(l, b), _| *l != lun || !(lba..lba + u64::from(blocks)).contains(b));
+        }
+        if let Some(conn) = self.clients.answer(at) {
+            conn.good(task, &[]);
+        }
+    }
+
+    fn refuse(&mut self, at: u32, task: u32, sense: Sense) {
+        if let Some(conn) = self.clients.answer(at) {
+            conn.other(task, status::CHECK_CONDITION, Some(sense), 0);
+        }
     }
 
     fn own(&mut self, at: u32, task: u32, room: usize, command: Result<Command, Sense>) {
@@ -439,6 +507,15 @@
         }
         while self.running.len() < self.model.cores {
             let Some(item) = self.waiting.pop_front() else { break };
+            if item.write && self.closed.contains(&item.lun) {
+                if self.lines.get(&item.client).is_some_and(|l| l.0 == item.line) && !item.orphan {
+                    let (node, line, task) = (self.index, item.line, item.task);
+                    // It has not run, and never will: as good as turned away.
+                    self.trace.note(What::Said { node, line, task, status: status::BUSY });
+                    self.refuse(item.client, item.task, Sense::WRITE_PROTECTED);
+                }
+                continue;
+            }
             let life = *self.life.lock().expect("no writer panics");
             let warmth = if life.run == 0 { 1.0 } else { self.model.warmth(now - life.since) };
             let work = item.work * self.slow / warmth;
@@ -455,15 +532,17 @@
         for i in 0..u64::from(item.blocks) {
             let at = i as usize * block::SIZE;
             if item.write {
-                let place = self.blocks.entry(item.lba + i).or_insert_with(|| Box::new([0; block::SIZE]));
+                let place =
+                    self.blocks.entry((item.lun, item.lba + i)).or_insert_with(|| Box::new([0; block::SIZE]));
                 place.copy_from_slice(&item.data[at..at + block::SIZE]);
             } else {
-                match self.blocks.get(&(item.lba + i)) {
+                match self.blocks.get(&(item.lun, item.lba + i)) {
                     Some(block) => data.extend_from_slice(&block[..]),
                     None => data.resize(at + block::SIZE, 0),
                 }
             }
         }
+        self.closed_by_now();
         if !item.orphan && self.rng.random::<f64>() >= self.lose {
             self.say(item.client, item.line, item.task, status::GOOD, &data);
         }
@@ -517,6 +596,7 @@
                     self.waiting.clear();
                     self.running.clear();
                     self.unheard.clear();
+                    self.closing.clear();
                     self.life.lock().expect("no writer panics").up = false;
                     self.trace.note(What::Down { node: self.index });
                 }
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -38,6 +38,7 @@
         host: u32,
         line: u64,
         task: u32,
+        lun: u32,
         write: bool,
         lba: u64,
         blocks: u32,
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -93,7 +93,8 @@
         self.tasks += 1;
         let wrote = if write { vec![op; 8] } else { vec![] };
         let task = self.tasks;
-        self.note(at, What::Got { node: volume, host: 0, line: 1, task, write, lba, blocks: 8, mark, wrote });
+        let (node, line, lun) = (volume, 1, 0);
+        self.note(at, What::Got { node, host: 0, line, task, lun, write, lba, blocks: 8, mark, wrote });
         task
     }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,12 +4,13 @@
 use crate::site::{Direction, Rule, Site, Volume};
 
 /// What each kind of section cannot do without.
-const NEEDED: [(&str, &[&str]); 6] = [
+const NEEDED: [(&str, &[&str]); 7] = [
     ("host", &["listen", "target", "node-list", "window", "connections", "longest"]),
     ("fleet", &["hosts", "unit", "mean-units", "largest-units", "submits"]),
+    ("catalog", &["listen", "store", "extent", "copies"]),
     ("plan", &[]),
     ("group", &["effect", "goal", "hard-limit"]),
-    ("volume", &["lun", "plan", "blocks", "block-size", "hosts", "extent", "rule"]),
+    ("volume", &["lun", "plan", "blocks", "block-size", "hosts", "rule"]),
     ("node", &["address", "target"]),
 ];
 
@@ -56,6 +57,43 @@
     let plans: Vec<&str> = draft.plans.iter().map(|p| p.1.name.as_str()).collect();
     let groups: Vec<(&str, bool)> = draft.groups.iter().map(|g| (g.1.name.as_str(), g.1.ordered)).collect();
     let nodes: Vec<&str> = draft.nodes.iter().map(|n| n.1.name.as_str()).collect();
+    let catalog = draft.catalog.map(|(at, mut catalog, copies)| {
+        if let Some(word) = copies {
+            let names: Vec<&str> = groups.iter().map(|g| g.0).collect();
+            catalog.copies = find("group", &word, &names, problems);
+            // A copy that is cut off is sent again, to a fresh place.
+            let fits = draft
+                .groups
+                .get(catalog.copies)
+                .is_some_and(|g| g.1.effect == crate::site::Effect::Idempotent && !g.1.ordered);
+            if !fits {
+                problems.add(word.at, "an idempotent group that is not ordered", format!("`{}`", word.text));
+            }
+        }
+        (at, catalog)
+    });
+    for v in &draft.volumes {
+        let (extents, mapped) = (!v.extents.is_empty(), v.volume.mapped);
+        if extents == mapped {
+            let found = if mapped { "both" } else { "neither" };
+            problems.add(v.at, "either `extent` or `mapped` in this section", found);
+        }
+        match &catalog {
+            None if mapped => problems.add(v.at, "a section `catalog`, since the volume is mapped", "none"),
+            Some((_, c)) if mapped && c.extent > 0 && !v.volume.blocks.is_multiple_of(c.extent) => {
+                let expected = format!("blocks in extents of {}", c.extent);
+                problems.add(v.at, expected, v.volume.blocks.to_string());
+            }
+            _ => {}
+        }
+        if mapped && v.volume.lun >= 1024 {
+            problems.add(
+                v.at,
+                "a LUN below 1024, since snapshots and clones have those above",
+                v.volume.lun.to_string(),
+            );
+        }
+    }
     let mut places = Vec::new();
     let mut volumes = Vec::new();
     for v in draft.volumes {
@@ -72,6 +110,7 @@
     Site {
         host: draft.host.unwrap_or_default().1,
         fleet,
+        catalog: catalog.map(|c| c.1),
         plans: draft.plans.into_iter().map(|p| p.1).collect(),
         groups: draft.groups.into_iter().map(|g| g.1).collect(),
         volumes,
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,12 +1,13 @@
 //! From text to a draft: every directive read, references still by name.
 use crate::lines::{Args, At, Problems, Word, words};
-use crate::site::{Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Volume};
+use crate::site::{Catalog, Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Volume};
 use std::collections::HashSet;
 
 #[derive(Default)]
 pub(crate) struct Draft {
     pub host: Option<(At, Host)>,
     pub fleet: Option<(At, Fleet)>,
+    pub catalog: Option<(At, Catalog, Option<Word>)>,
     pub plans: Vec<(At, Plan)>,
     pub groups: Vec<(At, Group)>,
     pub volumes: Vec<DraftVolume>,
@@ -40,13 +41,14 @@
     Lost,
     Host,
     Fleet,
+    Catalog,
     Plan,
     Group,
     Volume,
     Node,
 }
 
-const SECTIONS: &str = "a section: host, fleet, plan, group, volume or node";
+const SECTIONS: &str = "a section: host, fleet, catalog, plan, group, volume or node";
 const MANY: [&str; 2] = ["extent", "rule"];
 const BLOCK: &str = "a block number";
 const NUMBER: &str = "a number from 0 up";
@@ -77,6 +79,7 @@
     let (section, kind) = match kind {
         "host" => (Section::Host, "host"),
         "fleet" => (Section::Fleet, "fleet"),
+        "catalog" => (Section::Catalog, "catalog"),
         "plan" => (Section::Plan, "plan"),
         "group" => (Section::Group, "group"),
         "volume" => (Section::Volume, "volume"),
@@ -86,7 +89,7 @@
             return Section::Lost;
         }
     };
-    let name = if section == Section::Fleet {
+    let name = if matches!(section, Section::Fleet | Section::Catalog) {
         String::new()
     } else {
         let Some(name) = args.name("a name of letters, digits and -_.:") else { return Section::Lost };
@@ -96,6 +99,7 @@
     let twice = match section {
         Section::Host => draft.host.is_some(),
         Section::Fleet => draft.fleet.is_some(),
+        Section::Catalog => draft.catalog.is_some(),
         _ => false,
     };
     if twice {
@@ -106,6 +110,7 @@
     match section {
         Section::Host => draft.host = Some((at, Host { name, ..Host::default() })),
         Section::Fleet => draft.fleet = Some((at, Fleet::default())),
+        Section::Catalog => draft.catalog = Some((at, Catalog::default(), None)),
         Section::Plan => {
             draft.plans.push((at, Plan { name, weight: 1.0, price: 1.0, ..Plan::default() }));
         }
@@ -144,6 +149,7 @@
     let known = match section {
         Section::Host => host(&mut draft.host.as_mut().expect("open").1, &name, &mut args),
         Section::Fleet => fleet(&mut draft.fleet.as_mut().expect("open").1, &name, &mut args),
+        Section::Catalog => catalog(draft.catalog.as_mut().expect("open"), &name, &mut args),
         Section::Plan => plan(&mut draft.plans.last_mut().expect("open").1, &name, &mut args),
         Section::Group => group(&mut draft.groups.last_mut().expect("open").1, &name, &mut args),
         Section::Volume => volume(draft.volumes.last_mut().expect("open"), &name, &mut args),
@@ -233,6 +239,19 @@
     Ok(())
 }
 
+fn catalog(draft: &mut (At, Catalog, Option<Word>), name: &str, args: &mut Args) -> Known {
+    let (_, catalog, copies) = draft;
+    match name {
+        "listen" => catalog.listen = args.address("an address and port"),
+        "store" => set(&mut catalog.store, args.word("a path").map(Into::into)),
+        "control" => catalog.control = args.word("a path").map(Into::into),
+        "extent" => set(&mut catalog.extent, args.whole("a number of blocks from 1 to 65536", 1, 65536)),
+        "copies" => *copies = args.name("the name of a group"),
+        _ => return Err("listen, store, control, extent, copies"),
+    }
+    Ok(())
+}
+
 fn plan(plan: &mut Plan, name: &str, args: &mut Args) -> Known {
     let rate = "units a second such as 20/s";
     match name {
@@ -287,6 +306,7 @@
             });
             set(&mut volume.block_size, size);
         }
+        "mapped" => volume.mapped = true,
         "hosts" => set(&mut volume.hosts, args.whole("1 to 65536", 1, 65536).map(|n| n as u32)),
         "extent" => {
             let first = args.whole(BLOCK, 0, 1 << 50);
@@ -325,7 +345,7 @@
                 draft.rules.push(DraftRule { direction, range, group, key, at });
             }
         }
-        _ => return Err("lun, plan, blocks, block-size, hosts, extent, rule"),
+        _ => return Err("lun, plan, blocks, block-size, hosts, extent or mapped, rule"),
     }
     Ok(())
 }
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -10,6 +10,20 @@
     pub groups: Vec<Group>,
     pub volumes: Vec<Volume>,
     pub nodes: Vec<Node>,
+    /// Where snapshots and clones are kept track of.
+    pub catalog: Option<Catalog>,
+}
+
+/// The catalog of snapshots and clones.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Catalog {
+    pub listen: Option<SocketAddr>,
+    pub store: PathBuf,
+    pub control: Option<PathBuf>,
+    /// Blocks of one extent of a mapped volume.
+    pub extent: u64,
+    /// The group that copies belong to.
+    pub copies: usize,
 }
 
 /// This host itself.
@@ -126,6 +140,8 @@
     pub blocks: u64,
     pub block_size: u32,
     pub hosts: u32,
+    /// Its blocks lie where the catalog says; it then has no extents here.
+    pub mapped: bool,
     /// In order of their blocks, without gap or overlap.
     pub extents: Vec<Extent>,
     pub rules: Vec<Rule>,
