--- a/crates/cow/src/cache.rs
+++ b/crates/cow/src/cache.rs
@@ -10,6 +10,13 @@
 /// With fewer left, more are asked for.
 const NUMBERS_LOW: usize = 16;
 
+/// Copies of one host at once: enough to keep some nodes busy, few enough to leave them to clients.
+pub const COPIES: usize = 8;
+/// After a copy that came to nothing, the next of that extent waits.
+pub const COPY_AGAIN: Millis = 20;
+/// A place that was told and not heard of is told again: the catalog may have started anew.
+pub const TELL_AGAIN: Millis = 500;
+
 /// Where a block I/O goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Look {
@@ -80,6 +87,9 @@
         self.asked = None;
     }
 
+    /// How long to wait before the catalog is tried again.
+    pub const CONNECT_AGAIN: Millis = 200;
+
     pub fn may_act(&self, now: Millis) -> bool {
         self.tree.is_some() && now < self.until
     }
--- a/crates/cow/src/leases.rs
+++ b/crates/cow/src/leases.rs
@@ -47,11 +47,6 @@
         }
     }
 
-    /// A host has started anew: it acts on nothing it knew before.
-    pub fn forget(&mut self, host: &str) {
-        self.hosts.remove(host);
-    }
-
     /// Whether no host acts on anything older than a version.
     pub fn counts(&self, version: u64, now: Millis) -> bool {
         now >= self.unknown_until && self.hosts.values().all(|h| h.seen >= version || now >= h.until)
--- a/crates/cow/src/lib.rs
+++ b/crates/cow/src/lib.rs
@@ -5,11 +5,15 @@
 //!   every host apply the same changes and so hold the same tree.
 //! - `cut`: when a snapshot may be granted.
 //! - `leases`: when a change counts everywhere.
+//! - `free`: when space is given back.
+//! - `words`: what hosts and catalog say to each other.
 //! - `cache`: what a host does with a block I/O, by what it knows of the tree.
 pub mod cache;
 pub mod cut;
+pub mod free;
 pub mod leases;
 pub mod tree;
+pub mod words;
 
 /// Milliseconds on one's own clock, or a span of them.
 pub type Millis = u64;
--- a/crates/cow/src/tree.rs
+++ b/crates/cow/src/tree.rs
@@ -108,7 +108,7 @@
     BranchDeleted {
         branch: String,
     },
-    /// Places of a layer were given back by their nodes; without places left and of no use, so is the layer.
+    /// Places of a layer were given back by their nodes. Without places left, a layer that nothing is read by goes.
     Freed {
         layer: LayerId,
         extents: Vec<u32>,
@@ -391,48 +391,40 @@
                     l.places.remove(extent);
                     l.opened.remove(extent);
                 }
-                if l.places.is_empty() && self.useless(*layer) {
-                    self.layers.remove(layer);
+                if l.places.is_empty() && !self.roots().contains(layer) {
+                    // What stands under it moves up.
+                    let parent = self.layers.remove(layer).and_then(|l| l.parent);
+                    let under = self.layers.values_mut().filter(|l| l.parent == Some(*layer));
+                    under.for_each(|l| l.parent = parent);
                 }
             }
         }
         Ok(())
     }
 
-    fn children(&self, of: LayerId) -> impl Iterator<Item = (&LayerId, &Layer)> {
-        self.layers.iter().filter(move |l| l.1.parent == Some(of))
-    }
-
-    /// No branch, snapshot or layer reads by it.
-    fn useless(&self, id: LayerId) -> bool {
-        !self.branches.values().any(|b| b.head == id)
-            && !self.snapshots.values().any(|s| s.layer == id)
-            && self.children(id).next().is_none()
+    /// Layers that branches and snapshots are read by.
+    fn roots(&self) -> BTreeSet<LayerId> {
+        let heads = self.branches.values().map(|b| b.head);
+        heads.chain(self.snapshots.values().map(|s| s.layer)).collect()
     }
 
     /// Places that nobody can read any more, by layer. A layer with an empty set holds none and may go itself.
     pub fn waste(&self) -> BTreeMap<LayerId, BTreeSet<u32>> {
-        let mut waste = BTreeMap::new();
-        for (id, layer) in &self.layers {
-            if self.useless(*id) {
-                waste.insert(*id, layer.places.keys().copied().collect());
-                continue;
+        let roots = self.roots();
+        let mut read: BTreeSet<(LayerId, u32)> = BTreeSet::new();
+        for root in &roots {
+            // The nearest place of an extent hides those further up.
+            let mut found: BTreeSet<u32> = BTreeSet::new();
+            for (id, layer) in self.chain(*root) {
+                read.extend(layer.places.keys().filter(|e| found.insert(**e)).map(|e| (id, *e)));
             }
-            let own = self.branches.values().any(|b| b.head == *id)
-                || self.snapshots.values().any(|s| s.layer == *id);
-            if own {
-                continue;
-            }
-            // Read only by way of its children: what all of them have themselves is hidden.
-            let children: Vec<&Layer> = self.children(*id).map(|c| c.1).collect();
-            let hidden: BTreeSet<u32> = layer
-                .places
-                .keys()
-                .filter(|e| children.iter().all(|c| c.places.contains_key(e)))
-                .copied()
-                .collect();
-            if !hidden.is_empty() {
-                waste.insert(*id, hidden);
+        }
+        let mut waste = BTreeMap::new();
+        for (id, layer) in self.layers.iter().filter(|l| !roots.contains(l.0)) {
+            let unread: BTreeSet<u32> =
+                layer.places.keys().filter(|e| !read.contains(&(*id, **e))).copied().collect();
+            if !unread.is_empty() || layer.places.is_empty() {
+                waste.insert(*id, unread);
             }
         }
         waste
--- a/crates/cow/tests/trees.rs
+++ b/crates/cow/tests/trees.rs
@@ -131,6 +131,14 @@
         world.check();
         let held: usize = world.tree.layers.values().map(|l| l.places.len()).sum();
         prop_assert_eq!(held, world.stored.len());
+        let mut read = std::collections::BTreeSet::new();
+        let roots = world.tree.branches.values().map(|b| b.head);
+        for root in roots.chain(world.tree.snapshots.values().map(|s| s.layer)) {
+            read.extend((0..EXTENTS).filter_map(|e| world.tree.find(root, e)));
+        }
+        prop_assert_eq!(held, read.len());
+        let names = world.tree.branches.len() + world.tree.snapshots.len();
+        prop_assert!(world.tree.layers.len() <= names + held, "layers that hold nothing pile up");
     }
 
     /// The same changes give the same tree, also when it is written down and read back in between.
--- /dev/null
+++ b/crates/gateway/src/catalog.rs
@@ -0,0 +1,598 @@
+//! The catalog's process: keeps the tree, tells hosts of its changes, has nodes close and give back.
+use crate::clock::{Clock, millis, span};
+use crate::control::{self, Control};
+use crate::nodes::{Nodes, Order};
+use crate::run::{Failure, failure, signals};
+use crate::slots::Slots;
+use crate::wire::{self, Tried};
+use mallowseam_catalog::Catalog;
+use mallowseam_cow::cache::{layer_of, settle};
+use mallowseam_cow::cut::{Cut, Failed, Turn, to_close};
+use mallowseam_cow::free::Free;
+use mallowseam_cow::leases::Leases;
+use mallowseam_cow::tree::{Change, LayerId, Tree};
+use mallowseam_cow::words::{ToCatalog, ToHost};
+use mallowseam_iscsi::params::Wishes;
+use mallowseam_iscsi::scsi;
+use mallowseam_scheduler::host::{Ending, Tick};
+use mallowseam_settings::Site;
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+
+const LISTENER: Token = Token(0);
+const CONTROL: Token = Token(1);
+const SIGNALS: Token = Token(2);
+const CALLERS: usize = 3;
+const NODES: usize = CALLERS + control::MOST;
+const SCRATCH: usize = 64 * 1024;
+/// Longest line of a host, and bytes that may wait for one: a host that takes nothing is dropped.
+const LINE_MOST: usize = 64 * 1024;
+const WAITING_MOST: usize = 128 << 20;
+/// Ticks a node has to close a layer or give a place back, and between two looks at what is due.
+const ORDER_WITHIN: Tick = 20_000;
+const LOOK: Tick = 100;
+/// Ticks between two looks for what can be given back, while nothing changes.
+const SIFT: Tick = 2_000;
+
+struct Host {
+    socket: TcpStream,
+    name: String,
+    partial: Vec<u8>,
+    out: Vec<u8>,
+}
+
+impl Host {
+    fn say(&mut self, word: &ToHost) {
+        serde_json::to_writer(&mut self.out, word).expect("words are plain");
+        self.out.push(b'\n');
+    }
+}
+
+/// What a node was asked to do.
+enum Asked {
+    Close(LayerId, u32),
+    GiveBack(LayerId, u32),
+}
+
+/// An operator who waits for the end of what was asked.
+enum Waits {
+    Snapshot(Cut),
+    /// A rollback: until its old head is closed and the new one counts.
+    Counts(u64, LayerId, String),
+}
+
+struct Service {
+    site: Site,
+    clock: Clock,
+    now: Tick,
+    catalog: Catalog,
+    /// The tree with changes that are not on disk yet.
+    next: Tree,
+    batch: Vec<Change>,
+    leases: Leases,
+    free: Free,
+    hosts: Slots<Host>,
+    nodes: Nodes,
+    listener: TcpListener,
+    control: Option<Control>,
+    signals: UnixStream,
+    registry: Registry,
+    hosts_from: usize,
+    orders: BTreeMap<u32, (Asked, Tick)>,
+    tag: u32,
+    opening: Vec<(u64, LayerId, u32)>,
+    waits: Vec<(u32, Waits)>,
+    replies: Vec<(u32, String)>,
+    stops: bool,
+    looked: Tick,
+    /// The version whose waste is known, and when it was looked at last.
+    sifted: (u64, Tick),
+    scratch: Vec<u8>,
+}
+
+/// Runs the catalog of a site until it is told to stop.
+pub fn run(site: Site) -> Result<(), Failure> {
+    let mut poll = Poll::new().map_err(failure("poll".into()))?;
+    let mut service = Service::open(site, &poll)?;
+    let mut events = Events::with_capacity(256);
+    while !service.stops {
+        let wait = span((service.looked + LOOK - service.clock.now()).max(0));
+        if let Err(e) = poll.poll(&mut events, Some(wait))
+            && e.kind() != ErrorKind::Interrupted
+        {
+            return Err(Failure::new(format!("poll: {e}")));
+        }
+        service.now = service.clock.now();
+        for event in events.iter() {
+            let readable = event.is_readable() || event.is_error() || event.is_read_closed();
+            service.ready(event.token(), readable);
+        }
+        service.round()?;
+    }
+    tracing::info!("catalog ends");
+    Ok(())
+}
+
+impl Service {
+    fn open(site: Site, poll: &Poll) -> Result<Self, Failure> {
+        let settings = site.catalog.clone().ok_or_else(|| Failure::new("no section catalog".into()))?;
+        let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
+        let address = settings.listen.expect("checked");
+        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
+        poll.registry()
+            .register(&mut listener, LISTENER, Interest::READABLE)
+            .map_err(failure("poll".into()))?;
+        let control = match &settings.control {
+            Some(path) => Some(
+                Control::open(path, registry()?, CONTROL, CALLERS)
+                    .map_err(failure(format!("control {}", path.display())))?,
+            ),
+            None => None,
+        };
+        let catalog = Catalog::open(&settings.store)
+            .map_err(|e| Failure::new(format!("{}: {e}", settings.store.display())))?;
+        let initiator = format!("{}:catalog", site.host.target);
+        let nodes = Nodes::new(&site.nodes, initiator, Wishes::default(), registry()?, NODES);
+        let clock = Clock::start();
+        let now = clock.now();
+        let fresh = catalog.tree().version == 0;
+        tracing::info!(listen = %address, version = catalog.tree().version, "catalog starts");
+        let mut service = Service {
+            hosts_from: NODES + site.nodes.len(),
+            now,
+            next: catalog.tree().clone(),
+            catalog,
+            batch: Vec::new(),
+            leases: Leases::new(millis(now), fresh),
+            free: Free::default(),
+            hosts: Slots::default(),
+            nodes,
+            listener,
+            control,
+            signals: signals(poll, SIGNALS).map_err(failure("signals".into()))?,
+            registry: registry()?,
+            orders: BTreeMap::new(),
+            tag: 0,
+            opening: Vec::new(),
+            waits: Vec::new(),
+            replies: Vec::new(),
+            stops: false,
+            looked: now,
+            sifted: (u64::MAX, now),
+            scratch: vec![0; SCRATCH],
+            clock,
+            site,
+        };
+        // Places that were told and not opened before the last end.
+        for (layer, l) in &service.next.layers {
+            for extent in l.places.keys().filter(|e| !l.opened.contains(e)) {
+                service.opening.push((service.next.version, *layer, *extent));
+            }
+        }
+        for volume in service.site.volumes.clone().iter().filter(|v| v.mapped) {
+            if !service.next.branches.contains_key(&volume.name) {
+                let extents = (volume.blocks / settings.extent) as u32;
+                let made = Change::Made { branch: volume.name.clone(), extents };
+                service.propose(made).map_err(|r| Failure::new(r.to_string()))?;
+            }
+        }
+        Ok(service)
+    }
+
+    /// Makes a change that counts once the batch is on disk.
+    fn propose(&mut self, change: Change) -> Result<u64, mallowseam_cow::tree::Refused> {
+        self.next.apply(&change)?;
+        self.batch.push(change);
+        Ok(self.next.version)
+    }
+
+    fn ready(&mut self, token: Token, readable: bool) {
+        match token {
+            LISTENER => self.accept(),
+            CONTROL => {
+                if let Some(control) = &mut self.control {
+                    control.accept();
+                }
+            }
+            SIGNALS => {
+                let mut bytes = [0; 16];
+                self.stops |= matches!(self.signals.read(&mut bytes), Ok(n) if n > 0);
+            }
+            Token(t) if t < NODES => {
+                let at = (t - CALLERS) as u32;
+                if let Some(line) = self.control.as_mut().and_then(|c| c.ready(at)) {
+                    match self.told(at, &line) {
+                        Ok(Some(answer)) => self.replies.push((at, answer)),
+                        Ok(None) => {}
+                        Err(why) => self.replies.push((at, format!("error: {why}"))),
+                    }
+                }
+            }
+            Token(t) if t < self.hosts_from => {
+                let at = t - NODES;
+                let mut more = self.nodes.ready(at, readable, &mut self.scratch, self.now);
+                while more {
+                    more = self.nodes.read(at, &mut self.scratch, self.now);
+                }
+            }
+            Token(t) => self.read((t - self.hosts_from) as u32),
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Ok((mut socket, peer)) = self.listener.accept() {
+            let _ = socket.set_nodelay(true);
+            let token = Token(self.hosts_from + self.hosts.next() as usize);
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if self.registry.register(&mut socket, token, interest).is_ok() {
+                tracing::info!(%peer, "host connected");
+                let host = Host { socket, name: String::new(), partial: Vec::new(), out: Vec::new() };
+                self.hosts.put(host);
+            }
+        }
+    }
+
+    fn drop_host(&mut self, at: u32, why: &str) {
+        if let Some(mut host) = self.hosts.take(at) {
+            let _ = self.registry.deregister(&mut host.socket);
+            tracing::info!(host = host.name, why, "host connection closed");
+        }
+    }
+
+    fn read(&mut self, at: u32) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(host) = self.hosts.get_mut(at) {
+            match wire::read(&mut host.socket, &mut scratch) {
+                Tried::Blocked => break,
+                Tried::Read(n) => {
+                    let mut rest = &scratch[..n];
+                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+                        let Some(host) = self.hosts.get_mut(at) else { break };
+                        host.partial.extend_from_slice(&rest[..end]);
+                        rest = &rest[end + 1..];
+                        let line = std::mem::take(&mut host.partial);
+                        match serde_json::from_slice(&line) {
+                            Ok(word) => self.heard(at, word),
+                            Err(e) => self.drop_host(at, &e.to_string()),
+                        }
+                    }
+                    if let Some(host) = self.hosts.get_mut(at) {
+                        host.partial.extend_from_slice(rest);
+                        if host.partial.len() > LINE_MOST {
+                            self.drop_host(at, "a line past 64 KiB");
+                        }
+                    }
+                }
+                Tried::Over(why) => self.drop_host(at, &why),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    fn heard(&mut self, at: u32, word: ToCatalog) {
+        let now = millis(self.now);
+        let Some(host) = self.hosts.get_mut(at) else { return };
+        match word {
+            ToCatalog::Hello { host: name } => {
+                host.name = name;
+                // What is on disk: later changes follow one by one.
+                host.say(&ToHost::Whole { tree: Box::new(self.catalog.tree().clone()) });
+            }
+            ToCatalog::Renew { sent, seen } => {
+                let span = self.leases.renew(&host.name, seen, now);
+                host.say(&ToHost::Lease { sent, span });
+            }
+            ToCatalog::Seen { version } => self.leases.seen(&host.name, version),
+            ToCatalog::Numbers { layer, count } => {
+                let first = self.next.layers.get(&layer).map_or(0, |l| l.next_number);
+                if self.propose(Change::Numbers { layer, first, count }).is_ok() {
+                    // Told behind the change, once that is on disk.
+                    let word = ToHost::Numbers { layer, first, count };
+                    self.after(at, word);
+                }
+            }
+            ToCatalog::Placed { layer, extent, place } => {
+                let change = Change::Placed { layer, extent, place };
+                match settle(&self.next, &change) {
+                    Ok(None) => {
+                        if let Ok(version) = self.propose(change) {
+                            self.opening.push((version, layer, extent));
+                        }
+                    }
+                    _ => self.after(at, ToHost::NotPlaced { layer, extent }),
+                }
+            }
+        }
+    }
+
+    /// Says something once the batch is on disk: kept as a reply of this round.
+    fn after(&mut self, at: u32, word: ToHost) {
+        let text = serde_json::to_string(&word).expect("words are plain");
+        self.replies.push((u32::MAX - at, text));
+    }
+
+    /// What is due after the events of one poll.
+    fn round(&mut self) -> Result<(), Failure> {
+        let now = millis(self.now);
+        self.node_ends();
+        for (version, layer, extent) in std::mem::take(&mut self.opening) {
+            if self.leases.counts(version, now) {
+                let _ = self.propose(Change::Opened { layer, extent });
+            } else {
+                self.opening.push((version, layer, extent));
+            }
+        }
+        if self.now >= self.looked + LOOK {
+            self.looked = self.now;
+            self.leases.tidy(now);
+            self.nodes.care(self.now);
+            self.close_layers();
+            self.give_back(now);
+        }
+        self.tend_waits(now);
+        self.keep()?;
+        self.nodes.flush();
+        self.answer();
+        Ok(())
+    }
+
+    /// Puts the batch on disk, then tells the hosts.
+    fn keep(&mut self) -> Result<(), Failure> {
+        if self.batch.is_empty() {
+            return Ok(());
+        }
+        let batch = std::mem::take(&mut self.batch);
+        let first = self.catalog.tree().version + 1;
+        // A store that fails is no store: hosts go on by their leases, and a new process reads what is there.
+        self.catalog.commit(&batch).map_err(|e| Failure::new(e.to_string()))?;
+        for (version, change) in (first..).zip(batch) {
+            for at in self.hosts.indices() {
+                if let Some(host) = self.hosts.get_mut(at).filter(|h| !h.name.is_empty()) {
+                    host.say(&ToHost::Changed { version, change: change.clone() });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self) {
+        for (at, text) in std::mem::take(&mut self.replies) {
+            if at > u32::MAX / 2 {
+                if let Some(host) = self.hosts.get_mut(u32::MAX - at) {
+                    host.out.extend_from_slice(text.as_bytes());
+                    host.out.push(b'\n');
+                }
+            } else if let Some(control) = &mut self.control {
+                control.answer(at, &text);
+            }
+        }
+        for at in self.hosts.indices() {
+            let Some(host) = self.hosts.get_mut(at) else { continue };
+            let mut over = (host.out.len() > WAITING_MOST).then(|| "takes nothing".to_owned());
+            while !host.out.is_empty() && over.is_none() {
+                match host.socket.write(&host.out) {
+                    Ok(n) => drop(host.out.drain(..n)),
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    Err(e) => over = Some(e.to_string()),
+                }
+            }
+            if let Some(why) = over {
+                self.drop_host(at, &why);
+            }
+        }
+    }
+
+    fn order(&mut self, asked: Asked, node: u32, lun: LayerId, command: ([u8; 16], Vec<u8>)) {
+        self.tag = self.tag.wrapping_add(1);
+        let (cdb, data) = command;
+        let order = Order { tag: self.tag, lun: Some(lun), cdb, room: 0, data: data.into() };
+        self.orders.insert(self.tag, (asked, self.now + ORDER_WITHIN));
+        self.nodes.submit(node as usize, order, self.now);
+    }
+
+    /// Every frozen layer is closed at every node that holds a place of it, however often that takes.
+    fn close_layers(&mut self) {
+        for (layer, node) in to_close(&self.next) {
+            let same = |o: &(Asked, Tick)| matches!(o.0, Asked::Close(l, n) if (l, n) == (layer, node));
+            if !self.orders.values().any(same) {
+                self.order(Asked::Close(layer, node), node, layer, scsi::write_protect(true));
+            }
+        }
+    }
+
+    fn give_back(&mut self, now: u64) {
+        let limit = self.site.groups.iter().map(|g| g.hard_limit / 1000).max().unwrap_or(0);
+        if self.sifted.0 == self.next.version && self.now < self.sifted.1 + SIFT {
+            return;
+        }
+        self.sifted = (self.next.version, self.now);
+        self.free.look(&self.next, &self.leases, now);
+        let extent_blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
+        for (layer, extent) in self.free.lot(limit, now) {
+            let Some(place) = self.next.layers.get(&layer).and_then(|l| l.places.get(&extent)).copied()
+            else {
+                continue;
+            };
+            let run = (u64::from(place.number) * extent_blocks, extent_blocks as u32);
+            self.order(Asked::GiveBack(layer, extent), place.node, layer, scsi::unmap(&[run]));
+        }
+        for layer in self.free.empty().collect::<Vec<_>>() {
+            let _ = self.propose(Change::Freed { layer, extents: Vec::new() });
+        }
+    }
+
+    fn node_ends(&mut self) {
+        while let Some((_, result)) = self.nodes.ended() {
+            let Some((asked, _)) = self.orders.remove(&result.tag) else { continue };
+            self.order_over(asked, result.ending == Ending::Done);
+        }
+        let late: Vec<u32> = self.orders.iter().filter(|o| o.1.1 <= self.now).map(|o| *o.0).collect();
+        for tag in late {
+            let Some((asked, _)) = self.orders.remove(&tag) else { continue };
+            let node = match &asked {
+                Asked::Close(_, node) => Some(*node),
+                Asked::GiveBack(layer, extent) => {
+                    self.next.layers.get(layer).and_then(|l| l.places.get(extent)).map(|p| p.node)
+                }
+            };
+            if let Some(node) = node {
+                self.nodes.give_up(node as usize, tag, self.now);
+            }
+            self.order_over(asked, false);
+        }
+    }
+
+    fn order_over(&mut self, asked: Asked, done: bool) {
+        match asked {
+            Asked::Close(layer, node) if done => drop(self.propose(Change::Closed { layer, node })),
+            Asked::GiveBack(layer, extent) if done => {
+                let _ = self.propose(Change::Freed { layer, extents: vec![extent] });
+            }
+            Asked::GiveBack(layer, extent) => self.free.failed((layer, extent)),
+            Asked::Close(..) => {}
+        }
+    }
+
+    fn tend_waits(&mut self, now: u64) {
+        for (caller, wait) in std::mem::take(&mut self.waits) {
+            match &wait {
+                Waits::Snapshot(cut) => match cut.turn(&self.next, now) {
+                    Turn::Wait => self.waits.push((caller, wait)),
+                    Turn::Grant(change) => {
+                        let full = format!("{}@{}", cut.branch, cut.name);
+                        let answer = match self.propose(change) {
+                            Ok(_) => {
+                                tracing::info!(snapshot = full, "granted");
+                                let unit = self.next.snapshots[&full].unit;
+                                format!("{full} granted, LUN {unit}")
+                            }
+                            Err(r) => format!("error: {r}"),
+                        };
+                        self.replies.push((caller, answer));
+                    }
+                    Turn::Fail(why) => {
+                        let text = self.why(&why);
+                        tracing::warn!(snapshot = format!("{}@{}", cut.branch, cut.name), text, "failed");
+                        self.replies.push((caller, format!("error: {text}")));
+                    }
+                },
+                Waits::Counts(version, old, text) => {
+                    let closed = self
+                        .next
+                        .layers
+                        .get(old)
+                        .is_none_or(|_| !to_close(&self.next).iter().any(|c| c.0 == *old));
+                    if closed && self.leases.counts(*version, now) {
+                        self.replies.push((caller, text.clone()));
+                    } else {
+                        self.waits.push((caller, wait));
+                    }
+                }
+            }
+        }
+    }
+
+    fn why(&self, failed: &Failed) -> String {
+        match failed {
+            Failed::Refused(text) => text.clone(),
+            Failed::Unclosed(nodes) => {
+                let names: Vec<&str> =
+                    nodes.iter().map(|n| self.nodes.all[*n as usize].name.as_str()).collect();
+                format!("not closed in time by {}; no snapshot was made", names.join(", "))
+            }
+        }
+    }
+
+    /// A line on the control socket. None: the answer comes later.
+    fn told(&mut self, caller: u32, line: &str) -> Result<Option<String>, String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let refused = |r: mallowseam_cow::tree::Refused| r.to_string();
+        match words.as_slice() {
+            ["snapshot", branch, name] => {
+                let begun = Cut::begin(&self.next, branch, name, millis(self.now));
+                let (change, cut) = begun.map_err(|f| self.why(&f))?;
+                self.propose(change).map_err(refused)?;
+                self.waits.push((caller, Waits::Snapshot(cut)));
+                // Not a moment is lost: nodes are asked in this round.
+                self.close_layers();
+                Ok(None)
+            }
+            ["clone", snapshot, branch] => {
+                let (snapshot, branch) = ((*snapshot).to_owned(), (*branch).to_owned());
+                self.propose(Change::Cloned { snapshot, branch: branch.clone() }).map_err(refused)?;
+                Ok(Some(format!("{branch} made, LUN {}", self.next.branches[&branch].unit)))
+            }
+            ["rollback", branch, snapshot] => {
+                let old = self.next.branch(branch).map_err(refused)?.head;
+                let (branch, snapshot) = ((*branch).to_owned(), (*snapshot).to_owned());
+                let text = format!("{branch} shows {snapshot}");
+                let version = self.propose(Change::RolledBack { branch, snapshot }).map_err(refused)?;
+                self.waits.push((caller, Waits::Counts(version, old, text)));
+                self.close_layers();
+                Ok(None)
+            }
+            ["delete", name] => {
+                let change = if name.contains('@') {
+                    Change::SnapshotDeleted { snapshot: (*name).to_owned() }
+                } else if self.site.volumes.iter().any(|v| v.name == *name) {
+                    return Err(format!("`{name}`: a volume of the configuration"));
+                } else {
+                    Change::BranchDeleted { branch: (*name).to_owned() }
+                };
+                self.propose(change).map_err(refused)?;
+                Ok(Some(format!("{name} deleted; its space is given back in the background")))
+            }
+            ["list"] => Ok(Some(list(&self.next))),
+            ["diff", a, b] => {
+                let layer = |n: &str| layer_of(&self.next, n).ok_or_else(|| format!("`{n}`: no such name"));
+                let extents = |n: &str| {
+                    let branch = self.next.branches.get(n).map(|b| b.extents);
+                    branch.or_else(|| self.next.snapshots.get(n).map(|s| s.extents)).unwrap_or(0)
+                };
+                let blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
+                let found = self.next.diff(layer(a)?, layer(b)?, extents(a).max(extents(b)));
+                Ok(Some(runs(&found, blocks)))
+            }
+            ["tree"] => serde_json::to_string(&self.next).map(Some).map_err(|e| e.to_string()),
+            ["stop"] => {
+                self.stops = true;
+                Ok(Some("stopping".into()))
+            }
+            _ => {
+                Err(format!("`{line}`: expected snapshot, clone, rollback, delete, list, diff, tree or stop"))
+            }
+        }
+    }
+}
+
+fn list(tree: &Tree) -> String {
+    let mut out = Vec::new();
+    for (name, b) in &tree.branches {
+        let origin = b.origin.as_deref().map_or(String::new(), |o| format!("  clone of {o}"));
+        let own = tree.layers.get(&b.head).map_or(0, |l| l.places.len());
+        out.push(format!("{name}  LUN {}  {own} of {} extents its own{origin}", b.unit, b.extents));
+    }
+    for (name, s) in &tree.snapshots {
+        out.push(format!("{name}  LUN {}  layer {}", s.unit, s.layer));
+    }
+    out.join("\n")
+}
+
+/// Extents as runs of blocks, first to last.
+fn runs(extents: &[u32], blocks: u64) -> String {
+    let mut out: Vec<(u64, u64)> = Vec::new();
+    for e in extents {
+        let (from, to) = (u64::from(*e) * blocks, (u64::from(*e) + 1) * blocks - 1);
+        match out.last_mut() {
+            Some(last) if last.1 + 1 == from => last.1 = to,
+            _ => out.push((from, to)),
+        }
+    }
+    if out.is_empty() {
+        return "no difference".into();
+    }
+    out.iter().map(|(a, b)| format!("{a}-{b}")).collect::<Vec<_>>().join("\n")
+}
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -29,6 +29,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run the catalog of snapshots and clones in the foreground until SIGTERM or SIGINT
+    Catalog {
+        /// The configuration file
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "info")]
+        log: Level,
+        /// Log lines as JSON objects
+        #[arg(long)]
+        json: bool,
+    },
+    /// Snapshots and clones of mapped volumes
+    Snapshot {
+        #[command(subcommand)]
+        what: Snapshot,
+    },
     /// Read a configuration and name all its problems
     Check { file: PathBuf },
     /// Tell what a running host is doing
@@ -56,6 +71,35 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Snapshot {
+    /// Take one: VOLUME@NAME holds every write acknowledged before, none begun after
+    Take { file: PathBuf, volume: String, name: String },
+    /// Volumes, clones and snapshots, with the LUN of each
+    List { file: PathBuf },
+    /// Runs of blocks in which two of them may differ
+    Diff { file: PathBuf, one: String, other: String },
+    /// Make a writable clone of VOLUME@NAME
+    Clone { file: PathBuf, snapshot: String, name: String },
+    /// Show a volume as it stood at VOLUME@NAME; what came later is given up
+    Rollback { file: PathBuf, volume: String, snapshot: String },
+    /// Delete a snapshot or a clone; its space is given back in the background
+    Delete { file: PathBuf, name: String },
+}
+
+impl Snapshot {
+    fn line(&self) -> (&Path, String) {
+        match self {
+            Snapshot::Take { file, volume, name } => (file, format!("snapshot {volume} {name}")),
+            Snapshot::List { file } => (file, "list".into()),
+            Snapshot::Diff { file, one, other } => (file, format!("diff {one} {other}")),
+            Snapshot::Clone { file, snapshot, name } => (file, format!("clone {snapshot} {name}")),
+            Snapshot::Rollback { file, volume, snapshot } => (file, format!("rollback {volume} {snapshot}")),
+            Snapshot::Delete { file, name } => (file, format!("delete {name}")),
+        }
+    }
+}
+
 #[derive(clap::Args)]
 #[group(required = true, multiple = false)]
 struct At {
@@ -85,6 +129,20 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::run(site).map_err(|e| (FAILED, e.to_string())))
         }
+        What::Catalog { file, log, json } => {
+            start_log(log, json);
+            load(&file).and_then(|site| crate::catalog::run(site).map_err(|e| (FAILED, e.to_string())))
+        }
+        What::Snapshot { what } => {
+            let (file, line) = what.line();
+            load(file).and_then(|site| {
+                let control = site.catalog.and_then(|c| c.control);
+                let path = control.ok_or_else(|| {
+                    (BAD_FILE, format!("{}: no `control` in section catalog", file.display()))
+                })?;
+                control::ask(&path, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
+            })
+        }
         What::Check { file } => load(&file).map(|site| {
             println!(
                 "{}: sound; host {}, {} volumes on {} nodes, {} plans, {} groups",
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,12 +1,16 @@
 //! The block I/Os in hand: what came from which client, what is out at which node. Carries out what the
 //! scheduler decides; what comes of it is told to the scheduler once its call is over.
 use crate::clients::Clients;
-use crate::clock::{down, up};
+use crate::clock::{down, millis, up};
 use crate::figures::{Figures, GroupFigures, NodeFigures};
+use crate::map::Map;
 use crate::nodes::{self, Nodes, Order};
 use crate::slots::Slots;
 use crate::terms::layout;
-use mallowseam_conduct::parts::{End, Layout, Part, Whole};
+use mallowseam_conduct::parts::{End, Extent, Layout, Part, Whole};
+use mallowseam_cow::cache::{COPIES, COPY_AGAIN, Look, TELL_AGAIN};
+use mallowseam_cow::tree::{LayerId, Place, Tree};
+use mallowseam_cow::words::ToCatalog;
 use mallowseam_iscsi::initiator::Payload;
 use mallowseam_iscsi::scsi::{self, Command as Scsi, Sense, Unit, status};
 use mallowseam_iscsi::target::Came;
@@ -16,13 +20,16 @@
 use mallowseam_settings::Site;
 use mallowseam_settings::site;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
 
 /// A tag on the way to a node: the block I/O's place in the lower bits, above them which submit of that place
 /// it is, so that an answer finds no later one.
 const PLACE_BITS: u32 = 20;
 const PLACES: usize = 1 << PLACE_BITS;
 const NONE: u32 = u32::MAX;
+/// Group number of copies, by which a trace tells them from clients' commands.
+const COPY_MARK: u8 = 31;
 /// Ticks in the tenth of a second in which a time to come back is told (RFC 7144).
 const COME_BACK: Tick = 1_000;
 
@@ -34,6 +41,37 @@
     block_size: u32,
     hosts: u32,
     layout: Layout,
+    /// The branch whose extents it shows, where the catalog says where its blocks lie.
+    branch: Option<Rc<str>>,
+}
+
+/// A unit that clients see: a volume, or a snapshot or clone of one.
+#[derive(Clone)]
+struct Seen {
+    vol: usize,
+    lun: u32,
+    branch: Option<Rc<str>>,
+    writable: bool,
+}
+
+/// An extent on its way to a new place.
+struct Copy {
+    vol: usize,
+    from: Option<(LayerId, Place)>,
+    data: Payload,
+    /// For the submits of its write, one each.
+    numbers: Vec<u32>,
+    state: Copying,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Copying {
+    Reading,
+    Writing,
+    /// Told to the catalog, at that time.
+    Told(Place, u64),
+    /// Came to nothing; may be begun again from then on.
+    Resting(u64),
 }
 
 struct Group {
@@ -68,6 +106,16 @@
 struct Io {
     command: u32,
     next: u32,
+    vol: usize,
+    lun: u32,
+    branch: Option<Rc<str>>,
+    /// Order in which they came.
+    seq: u64,
+    place: Option<(LayerId, Place)>,
+    /// The extent it copies.
+    copies: Option<(LayerId, u32)>,
+    /// Comes back from the scheduler to be looked up again.
+    returns: bool,
     part: Part,
     taken: Tick,
     handed: bool,
@@ -95,10 +143,24 @@
     ended: VecDeque<(BioId, Outcome)>,
     gone: VecDeque<BioId>,
     parts: Vec<Part>,
+    pub map: Option<Map>,
+    extent: u64,
+    copy_group: usize,
+    submits: u32,
+    shards: Vec<u32>,
+    units: BTreeMap<u32, Seen>,
+    units_of: u64,
+    seq: u64,
+    /// Block I/Os that wait for news of the map, in the order in which they came.
+    waiting: Vec<u32>,
+    looked: (u64, Tick),
+    copying: BTreeMap<(LayerId, u32), Copy>,
+    fresh: VecDeque<u32>,
 }
 
 impl Desk {
-    pub fn new(site: &Site, clients: Clients, nodes: Nodes) -> Self {
+    pub fn new(site: &Site, clients: Clients, nodes: Nodes, map: Option<Map>) -> Self {
+        let catalog = site.catalog.clone().unwrap_or_default();
         let volume = |v: &site::Volume| Volume {
             name: v.name.clone(),
             plan: v.plan as u16,
@@ -106,7 +168,8 @@
             blocks: v.blocks,
             block_size: v.block_size,
             hosts: v.hosts,
-            layout: layout(site, v),
+            layout: if v.mapped { mapped(site, v, catalog.extent) } else { layout(site, v) },
+            branch: v.mapped.then(|| v.name.as_str().into()),
         };
         let group = |g: &site::Group| Group {
             hard_limit: down(g.hard_limit),
@@ -136,6 +199,18 @@
             ended: VecDeque::new(),
             gone: VecDeque::new(),
             parts: Vec::new(),
+            map,
+            extent: catalog.extent,
+            copy_group: catalog.copies,
+            submits: site.fleet.submits,
+            shards: site.nodes.iter().map(|n| n.shard).collect(),
+            units: BTreeMap::new(),
+            units_of: u64::MAX,
+            seq: 0,
+            waiting: Vec::new(),
+            looked: (0, 0),
+            copying: BTreeMap::new(),
+            fresh: VecDeque::new(),
         }
     }
 
@@ -185,9 +260,13 @@
     fn let_go(&mut self, at: u32) {
         let mut next = self.commands.get(at).map_or(NONE, |c| c.first);
         while let Some(io) = self.ios.get_mut(next).filter(|io| io.command == at) {
-            if io.handed && !io.answered {
+            if !io.answered {
                 io.answered = true;
-                self.gone.push_back(BioId(next));
+                if io.handed {
+                    self.gone.push_back(BioId(next));
+                }
+                // One that waits is let go at the next look.
+                self.looked.1 = 0;
             }
             next = io.next;
         }
@@ -211,7 +290,9 @@
                 if self.ios.get(id.0).is_some() {
                     scheduler.gone(self, now, id);
                 }
-            } else if self.nodes.is_quiet() && self.clients.is_quiet() {
+            } else if let Some(at) = self.fresh.pop_front() {
+                self.take(scheduler, at);
+            } else if self.nodes.is_quiet() && self.clients.is_quiet() && !self.look_again(scheduler) {
                 return;
             }
         }
@@ -223,10 +304,17 @@
         if io.out.as_ref().is_none_or(|o| o.tag != result.tag) {
             return;
         }
-        let command = self.commands.get_mut(io.command).expect("a block I/O has its command");
-        let mut ending = result.ending;
-        let bytes = io.part.blocks as usize * command.block_size;
-        if ending == Ending::Done && !command.write && result.data.len() != bytes {
+        if result.closed && io.branch.is_some() {
+            return self.turned_away(at);
+        }
+        let (block_size, write) = match self.commands.get(io.command) {
+            Some(c) => (c.block_size, c.write),
+            None => (self.volumes[io.vol].block_size as usize, self.writes_copy(at)),
+        };
+        let io = self.ios.get_mut(at).expect("just seen");
+        let mut ending = if result.closed { Ending::Error } else { result.ending };
+        let bytes = io.part.blocks as usize * block_size;
+        if ending == Ending::Done && !write && result.data.len() != bytes {
             tracing::warn!(
                 node = self.nodes.all[node].name,
                 bytes,
@@ -237,22 +325,34 @@
         }
         if ending == Ending::Done && !io.answered {
             io.answered = true;
-            let figures = &mut self.figures.groups[io.part.group as usize];
-            figures.answers.ended += 1;
-            let wait = self.now - io.taken;
-            figures.late += u64::from(wait > self.groups[io.part.group as usize].goal);
-            figures.waits.saturating_record(wait.max(0) as u64 * 100);
-            let (from, at) = (io.part.from as usize * command.block_size, io.command);
-            let mut data = result.data;
-            if !command.write && !command.read.is_empty() {
-                command.read[from..from + bytes].copy_from_slice(&data);
-                data = Vec::new();
-            }
-            self.part_over(at, End::Ended, &data);
+            self.done(at, result.data);
         }
         self.tell(at, ending);
     }
 
+    /// A block I/O has ended.
+    fn done(&mut self, at: u32, mut data: Vec<u8>) {
+        let io = self.ios.get(at).expect("in hand");
+        let group = io.part.group as usize;
+        let figures = &mut self.figures.groups[group];
+        figures.answers.ended += 1;
+        let wait = self.now - io.taken;
+        figures.late += u64::from(wait > self.groups[group].goal);
+        figures.waits.saturating_record(wait.max(0) as u64 * 100);
+        if io.copies.is_some() {
+            return self.copied(at, data);
+        }
+        let (from, bytes) = (io.part.from as usize, io.part.blocks as usize);
+        let command_at = io.command;
+        let Some(command) = self.commands.get_mut(command_at) else { return };
+        if !command.write && !command.read.is_empty() {
+            let (from, bytes) = (from * command.block_size, bytes * command.block_size);
+            command.read[from..from + bytes].copy_from_slice(&data);
+            data = Vec::new();
+        }
+        self.part_over(command_at, End::Ended, &data);
+    }
+
     /// A submit is over: its outcome is told to the scheduler after the present call.
     fn tell(&mut self, at: u32, ending: Ending) {
         let Some(io) = self.ios.get_mut(at) else { return };
@@ -267,7 +367,7 @@
         let outcome = Outcome {
             ending,
             node: NodeId(out.node),
-            closed: io.answered,
+            closed: io.answered || io.returns,
             wait: self.now - out.sent,
             by_others: 0.0,
             used: 0.0,
@@ -346,13 +446,19 @@
         data: Vec<u8>,
     ) {
         let scsi = scsi::read_cdb(cdb);
-        let vol = lun.and_then(|lun| self.volumes.iter().position(|v| v.lun == lun));
+        let seen = lun.and_then(|lun| self.unit(lun));
+        let vol = seen.as_ref().map(|s| s.vol);
         let (write, lba, blocks, mark) = match scsi {
             Ok(Scsi::Read { lba, blocks, group }) => (false, lba, blocks, group),
             Ok(Scsi::Write { lba, blocks, group }) => (true, lba, blocks, group),
             scsi => return self.own(client, task, vol, scsi),
         };
-        let Some(vol) = vol else { return self.refuse(client, task, Sense::NO_SUCH_LUN) };
+        let Some(Seen { vol, lun, branch, writable }) = seen else {
+            return self.refuse(client, task, Sense::NO_SUCH_LUN);
+        };
+        if write && !writable {
+            return self.refuse(client, task, Sense::WRITE_PROTECTED);
+        }
         let volume = &self.volumes[vol];
         let block_size = volume.block_size as usize;
         let bytes = u64::from(blocks) * block_size as u64;
@@ -400,6 +506,13 @@
             first = self.ios.put(Io {
                 command,
                 next: first,
+                vol,
+                lun,
+                branch: branch.clone(),
+                seq: 0,
+                place: None,
+                copies: None,
+                returns: false,
                 part: *part,
                 taken: self.now,
                 handed: false,
@@ -412,37 +525,60 @@
         self.parts = parts;
         let mut next = first;
         while let Some(io) = self.ios.get_mut(next) {
-            let (at, part) = (next, io.part);
+            let at = next;
             next = io.next;
+            self.seq += 1;
+            io.seq = self.seq;
             if self.commands.get(command).is_some_and(|c| c.whole.answered()) {
                 // An earlier part has decided the answer: the scheduler never hears of this one.
                 self.forget(at);
-                continue;
-            }
-            io.handed = true;
-            let volume = &self.volumes[vol];
-            let key = part.key.map(|key| KeyId(self.keys.enter(&(vol as u32, key))));
-            let bytes = u64::from(part.blocks) * u64::from(volume.block_size);
-            let bio = Bio {
-                id: BioId(at),
-                group: part.group,
-                plan: volume.plan,
-                vol: VolId(vol as u32),
-                key,
-                hard_limit: self.now + self.groups[part.group as usize].hard_limit,
-                units: bytes.div_ceil(self.unit) as f64,
-                shard: Some(part.shard),
-                hosts: volume.hosts,
-            };
-            self.figures.groups[part.group as usize].answers.taken += 1;
-            let now = self.now;
-            scheduler.take(self, now, bio);
+            } else if io.branch.is_some() {
+                self.look_up(scheduler, at);
+            } else {
+                self.take(scheduler, at);
+            }
         }
     }
 
+    /// Hands a block I/O to the scheduler.
+    fn take(&mut self, scheduler: &mut Scheduler, at: u32) {
+        let Some(io) = self.ios.get_mut(at) else { return };
+        io.handed = true;
+        let part = io.part;
+        let volume = &self.volumes[io.vol];
+        let key = part.key.map(|key| KeyId(self.keys.enter(&(io.lun, key))));
+        let bytes = u64::from(part.blocks) * u64::from(volume.block_size);
+        let shard = match (io.place, io.copies) {
+            (Some((_, place)), _) => Some(self.shards[place.node as usize]),
+            // A new object may go to any node.
+            (None, Some(_)) => None,
+            (None, None) => Some(part.shard),
+        };
+        let bio = Bio {
+            id: BioId(at),
+            group: part.group,
+            plan: volume.plan,
+            vol: VolId(io.vol as u32),
+            key,
+            hard_limit: io.taken + self.groups[part.group as usize].hard_limit,
+            units: bytes.div_ceil(self.unit) as f64,
+            shard,
+            hosts: volume.hosts,
+        };
+        self.figures.groups[part.group as usize].answers.taken += 1;
+        let now = self.now;
+        scheduler.take(self, now, bio);
+    }
+
     /// A block I/O gives back its place, and its command with the last one.
     fn forget(&mut self, at: u32) {
         let Some(io) = self.ios.take(at) else { return };
+        if let Some(copy) = io.copies.and_then(|c| self.copying.get_mut(&c))
+            && matches!(copy.state, Copying::Reading | Copying::Writing)
+            && !io.answered
+        {
+            copy.state = Copying::Resting(millis(self.now) + COPY_AGAIN);
+        }
         if let Some(command) = self.commands.get_mut(io.command) {
             command.alive -= 1;
             if command.alive == 0 {
@@ -463,7 +599,9 @@
         };
         match scsi {
             Scsi::ReportLuns { select, room } => {
-                let data = scsi::report_luns(self.volumes.iter().map(|v| v.lun), select);
+                self.learn_units();
+                let luns = self.volumes.iter().map(|v| v.lun).chain(self.units.keys().copied());
+                let data = scsi::report_luns(luns, select);
                 return self.good(client, task, &cut(data, room));
             }
             Scsi::RequestSense { room } => {
@@ -527,7 +665,8 @@
 
     fn give_up(&mut self, bio: BioId, end: End) {
         let Some(io) = self.ios.get_mut(bio.0).filter(|io| !io.answered) else { return };
-        io.answered = true;
+        // A copy that is given up has no client: its place is given back with its state as it is.
+        io.answered = io.copies.is_none();
         let answers = &mut self.figures.groups[io.part.group as usize].answers;
         match end {
             End::Shed(_) => answers.shed += 1,
@@ -538,6 +677,290 @@
     }
 }
 
+/// Extents of a mapped volume, each its own shard until it is looked up.
+fn mapped(site: &Site, v: &site::Volume, extent: u64) -> Layout {
+    let count = v.blocks / extent.max(1);
+    let one = |i| Extent { first: i * extent, blocks: extent, shard: i as u32, node_first: 0 };
+    Layout { extents: (0..count).map(one).collect(), rules: layout(site, v).rules }
+}
+
+/// Mapped volumes: where a block I/O goes is looked up, and waited for.
+impl Desk {
+    /// The unit of a LUN.
+    fn unit(&mut self, lun: u32) -> Option<Seen> {
+        if let Some(vol) = self.volumes.iter().position(|v| v.lun == lun) {
+            let branch = self.volumes[vol].branch.clone();
+            return Some(Seen { vol, lun, branch, writable: true });
+        }
+        self.learn_units();
+        self.units.get(&lun).cloned()
+    }
+
+    /// Snapshots and clones of mapped volumes, when the tree has changed.
+    fn learn_units(&mut self) {
+        let Some(tree) = self.map.as_ref().and_then(|m| m.cache.tree()) else { return };
+        if tree.version == self.units_of {
+            return;
+        }
+        self.units_of = tree.version;
+        self.units.clear();
+        for (name, snapshot) in &tree.snapshots {
+            if let Some(vol) = self.volume_of(tree, &snapshot.branch) {
+                let branch = Some(name.as_str().into());
+                self.units.insert(snapshot.unit, Seen { vol, lun: snapshot.unit, branch, writable: false });
+            }
+        }
+        for (name, branch) in tree.branches.iter().filter(|b| b.1.origin.is_some()) {
+            if let Some(vol) = self.volume_of(tree, name) {
+                let seen = Seen { vol, lun: branch.unit, branch: Some(name.as_str().into()), writable: true };
+                self.units.insert(branch.unit, seen);
+            }
+        }
+    }
+
+    /// The configured volume that a branch comes from, by way of clones of clones.
+    fn volume_of(&self, tree: &Tree, branch: &str) -> Option<usize> {
+        let mut name = branch;
+        for _ in 0..=tree.branches.len() {
+            if let Some(vol) = self.volumes.iter().position(|v| v.branch.as_deref() == Some(name)) {
+                return Some(vol);
+            }
+            name = tree.branches.get(name)?.origin.as_deref()?.split('@').next()?;
+        }
+        None
+    }
+
+    fn is_write(&self, io: &Io) -> bool {
+        self.commands.get(io.command).is_some_and(|c| c.write)
+    }
+
+    fn writes_copy(&self, at: u32) -> bool {
+        let copies = self.ios.get(at).and_then(|io| io.copies);
+        copies.and_then(|c| self.copying.get(&c)).is_some_and(|c| c.state == Copying::Writing)
+    }
+
+    /// Puts a block I/O among those that wait, by the order in which they came.
+    fn wait(&mut self, at: u32) {
+        let seq = self.ios.get(at).expect("in hand").seq;
+        let ios = &self.ios;
+        let place = self.waiting.partition_point(|w| ios.get(*w).is_some_and(|io| io.seq < seq));
+        self.waiting.insert(place, at);
+        self.looked.1 = 0;
+    }
+
+    /// Looks up where a block I/O goes. What comes behind one that waits for the same extent waits as well.
+    fn look_up(&mut self, scheduler: &mut Scheduler, at: u32) {
+        let io = self.ios.get(at).expect("in hand");
+        let same = |w: &u32| {
+            self.ios
+                .get(*w)
+                .is_some_and(|o| o.lun == io.lun && o.part.shard == io.part.shard && o.seq < io.seq)
+        };
+        if self.waiting.iter().any(same) {
+            return self.wait(at);
+        }
+        if !self.go(scheduler, at) {
+            self.wait(at);
+        }
+    }
+
+    /// Sends a block I/O on its way if that is known. False: not yet.
+    fn go(&mut self, scheduler: &mut Scheduler, at: u32) -> bool {
+        let io = self.ios.get(at).expect("in hand");
+        let (write, extent, vol) = (self.is_write(io), io.part.shard, io.vol);
+        let Some(map) = &mut self.map else { return false };
+        let now = millis(self.now);
+        match map.cache.look(io.branch.as_deref().unwrap_or_default(), extent, write, now) {
+            Look::At(layer, place) => {
+                self.ios.get_mut(at).expect("in hand").place = Some((layer, place));
+                self.take(scheduler, at);
+                true
+            }
+            Look::Zeros => {
+                let bytes = io.part.blocks as usize * self.volumes[vol].block_size as usize;
+                let io = self.ios.get_mut(at).expect("in hand");
+                io.answered = true;
+                self.figures.groups[io.part.group as usize].answers.taken += 1;
+                self.done(at, vec![0; bytes]);
+                self.forget(at);
+                true
+            }
+            Look::Copy { into, from } => {
+                map.want_numbers(into, now);
+                self.copy((into, extent), vol, from);
+                false
+            }
+            Look::Later | Look::Unsure => false,
+            Look::NoSuchBranch => {
+                self.give_up(BioId(at), End::Failed);
+                self.forget(at);
+                true
+            }
+        }
+    }
+
+    /// Looks again at all that wait, when there is news or time has passed. True if anything has moved.
+    fn look_again(&mut self, scheduler: &mut Scheduler) -> bool {
+        let news = self.map.as_ref().map_or(0, |m| m.news);
+        if self.map.is_none() || self.looked.0 == news && self.now < self.looked.1 {
+            return false;
+        }
+        self.looked = (news, self.now + up(COPY_AGAIN * 1000));
+        self.tend_copies();
+        let mut behind: Vec<(u32, u32)> = Vec::new();
+        let mut moved = false;
+        for at in std::mem::take(&mut self.waiting) {
+            let Some(io) = self.ios.get(at) else { continue };
+            let here = (io.lun, io.part.shard);
+            if io.answered {
+                self.forget(at);
+                moved = true;
+            } else if self.now >= io.taken + self.groups[io.part.group as usize].goal {
+                // Past its goal: the answer at once. It has not been sent, so trying again is harmless.
+                self.give_up(BioId(at), End::Shed(0));
+                self.forget(at);
+                moved = true;
+            } else if behind.contains(&here) || !self.go(scheduler, at) {
+                behind.push(here);
+                let seq = self.ios.get(at).map_or(0, |io| io.seq);
+                let ios = &self.ios;
+                let place = self.waiting.partition_point(|w| ios.get(*w).is_some_and(|io| io.seq < seq));
+                self.waiting.insert(place, at);
+            } else {
+                moved = true;
+            }
+        }
+        moved || !self.fresh.is_empty()
+    }
+
+    /// When those that wait are to be looked at next.
+    pub fn next_look(&self) -> Option<Tick> {
+        (!self.waiting.is_empty()).then_some(self.looked.1)
+    }
+
+    /// A node has turned a write away, as its layer is closed: it and those behind it are looked up anew.
+    fn turned_away(&mut self, at: u32) {
+        let layer = self.ios.get(at).and_then(|io| io.place).map(|p| p.0);
+        self.ios.get_mut(at).expect("in hand").returns = true;
+        self.tell(at, Ending::Moot);
+        for other in self.ios.indices() {
+            let Some(io) = self.ios.get(other) else { continue };
+            let here = io.place.map(|p| p.0) == layer && io.handed && io.out.is_none() && !io.returns;
+            if here && !io.answered && io.copies.is_none() && self.is_write(io) {
+                self.ios.get_mut(other).expect("just seen").returns = true;
+                self.gone.push_back(BioId(other));
+            }
+        }
+    }
+
+    /// Begins to copy an extent to a new place, unless that is under way.
+    fn copy(&mut self, to: (LayerId, u32), vol: usize, from: Option<(LayerId, Place)>) {
+        let now = millis(self.now);
+        let Some(map) = &mut self.map else { return };
+        if let Some(copy) = self.copying.get(&to) {
+            match copy.state {
+                Copying::Resting(until) if now >= until => {}
+                _ => return,
+            }
+        } else if self.copying.len() >= COPIES {
+            return;
+        }
+        let mut numbers = Vec::new();
+        while numbers.len() < self.submits as usize {
+            let Some(number) = map.cache.number(to.0) else { break };
+            numbers.push(number);
+        }
+        if numbers.len() < self.submits as usize {
+            // What was drawn is lost, which costs nothing; more are on their way.
+            self.copying.remove(&to);
+            return;
+        }
+        let state = if from.is_some() { Copying::Reading } else { Copying::Writing };
+        // What was never written reads as zeros anyway: one block makes the node known to be there.
+        let data = if from.is_some() { Vec::new() } else { vec![0; self.volumes[vol].block_size as usize] };
+        self.copying.insert(to, Copy { vol, from, data: data.into(), numbers, state });
+        self.copy_step(to);
+    }
+
+    /// The next block I/O of a copy.
+    fn copy_step(&mut self, to: (LayerId, u32)) {
+        let copy = &self.copying[&to];
+        let reading = copy.state == Copying::Reading;
+        let blocks = if reading || copy.from.is_some() { self.extent as u32 } else { 1 };
+        let part =
+            Part { from: 0, blocks, shard: to.1, node_lba: 0, group: self.copy_group as u16, key: None };
+        self.seq += 1;
+        let io = Io {
+            command: NONE,
+            next: NONE,
+            vol: copy.vol,
+            lun: NONE,
+            branch: None,
+            seq: self.seq,
+            place: if reading { copy.from } else { None },
+            copies: Some(to),
+            returns: false,
+            part,
+            taken: self.now,
+            handed: false,
+            submits: 0,
+            out: None,
+            answered: false,
+        };
+        let at = self.ios.put(io);
+        self.fresh.push_back(at);
+    }
+
+    /// A step of a copy has ended.
+    fn copied(&mut self, at: u32, data: Vec<u8>) {
+        let io = self.ios.get(at).expect("in hand");
+        let (Some(to), place) = (io.copies, io.place) else { return };
+        let Some(copy) = self.copying.get_mut(&to) else { return };
+        match (copy.state, place) {
+            (Copying::Reading, _) => {
+                copy.data = data.into();
+                copy.state = Copying::Writing;
+                self.copy_step(to);
+            }
+            (Copying::Writing, Some((_, place))) => {
+                copy.state = Copying::Told(place, millis(self.now));
+                self.tell_place(to, place);
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_place(&mut self, to: (LayerId, u32), place: Place) {
+        if let Some(map) = &mut self.map {
+            map.say(&ToCatalog::Placed { layer: to.0, extent: to.1, place });
+        }
+    }
+
+    /// Copies that are settled are over; places not heard of are told again.
+    fn tend_copies(&mut self) {
+        let now = millis(self.now);
+        let Some(tree) = self.map.as_ref().and_then(|m| m.cache.tree()) else { return };
+        let settled = |(layer, extent): &(LayerId, u32)| {
+            tree.layers.get(layer).is_none_or(|l| l.frozen || l.places.contains_key(extent))
+        };
+        let mut again = Vec::new();
+        self.copying.retain(|to, copy| match &mut copy.state {
+            Copying::Told(place, at) => {
+                if !settled(to) && now >= *at + TELL_AGAIN {
+                    *at = now;
+                    again.push((*to, *place));
+                }
+                !settled(to)
+            }
+            Copying::Resting(_) => !settled(to) && now < u64::MAX,
+            Copying::Reading | Copying::Writing => true,
+        });
+        for (to, place) in again {
+            self.tell_place(to, place);
+        }
+    }
+}
+
 impl Host for Desk {
     fn submit(&mut self, bio: BioId, node: NodeId, limit: Tick) {
         let io = self.ios.get_mut(bio.0).expect("in hand");
@@ -549,19 +972,43 @@
         let tag = *turn << PLACE_BITS | bio.0;
         io.submits += 1;
         io.out = Some(Out { node: node.0, tag, sent: self.now });
-        let part = io.part;
-        let command = self.commands.get_mut(io.command).expect("a block I/O has its command");
-        if self.groups[part.group as usize].side_effecting {
-            command.whole.sent();
+        let (part, vol, copies) = (io.part, io.vol, io.copies);
+        let mut place = io.place;
+        let block_size = self.volumes[vol].block_size as usize;
+        let (from, len) = (part.from as usize * block_size, part.blocks as usize * block_size);
+        let (write, mark, data) = match (self.commands.get_mut(io.command), copies) {
+            (Some(command), _) => {
+                if self.groups[part.group as usize].side_effecting {
+                    command.whole.sent();
+                }
+                let data = if command.write { command.data.piece(from, len) } else { Payload::default() };
+                (command.write, command.mark, data)
+            }
+            (None, Some(copied)) => {
+                let copy = self.copying.get_mut(&copied).expect("a copy has its state");
+                let write = copy.state == Copying::Writing;
+                if write {
+                    // Each submit has a place of its own: one that lands late lands where nobody looks.
+                    let number = copy.numbers.pop().expect("one for each submit");
+                    place = Some((copied.0, Place { node: node.0, number }));
+                }
+                (write, COPY_MARK, if write { copy.data.clone() } else { Payload::default() })
+            }
+            (None, None) => (false, 0, Payload::default()),
+        };
+        if copies.is_some() {
+            self.ios.get_mut(bio.0).expect("in hand").place = place;
         }
-        let (from, len) =
-            (part.from as usize * command.block_size, part.blocks as usize * command.block_size);
+        let (lun, lba) = match place {
+            Some((layer, place)) => (Some(layer), u64::from(place.number) * self.extent + part.node_lba),
+            None => (None, part.node_lba),
+        };
         let order = Order {
             tag,
-            lun: None,
-            cdb: scsi::rw16(command.write, part.node_lba, part.blocks, command.mark),
-            room: if command.write { 0 } else { len },
-            data: if command.write { command.data.piece(from, len) } else { Payload::default() },
+            lun,
+            cdb: scsi::rw16(write, lba, part.blocks, mark),
+            room: if write { 0 } else { len },
+            data,
         };
         self.figures.nodes[node.0 as usize].submits += 1;
         self.timers.push(Reverse((self.now + limit.max(0), tag)));
@@ -601,7 +1048,13 @@
     fn tell_peers(&mut self, _bytes: &[u8]) {}
 
     fn release_bio(&mut self, bio: BioId) {
-        self.forget(bio.0);
+        match self.ios.get_mut(bio.0).filter(|io| io.returns && !io.answered) {
+            Some(io) => {
+                (io.returns, io.handed, io.place, io.submits) = (false, false, None, 0);
+                self.wait(bio.0);
+            }
+            None => self.forget(bio.0),
+        }
     }
 
     fn release_key(&mut self, key: KeyId) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! One host: clients speak iSCSI to it, it submits to storage nodes, and `mallowseam-scheduler` decides all that
 //! happens to a block I/O in between. One thread, sockets on `mio`.
+mod catalog;
 pub mod cli;
 pub mod clients;
 pub mod clock;
@@ -7,6 +8,7 @@
 mod desk;
 mod figures;
 mod list;
+mod map;
 mod nodes;
 mod run;
 pub mod slots;
--- /dev/null
+++ b/crates/gateway/src/map.rs
@@ -0,0 +1,171 @@
+//! The connection to the catalog, and what this host knows of the tree.
+use crate::wire::{self, Tried};
+use mallowseam_cow::Millis;
+use mallowseam_cow::cache::Cache;
+use mallowseam_cow::tree::LayerId;
+use mallowseam_cow::words::{ToCatalog, ToHost};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// Longest line from the catalog: a whole tree of some hundred thousand extents.
+const LINE_MOST: usize = 64 << 20;
+
+pub struct Map {
+    host: String,
+    address: SocketAddr,
+    registry: Registry,
+    token: Token,
+    socket: Option<TcpStream>,
+    readable: bool,
+    partial: Vec<u8>,
+    out: Vec<u8>,
+    connect_at: Millis,
+    pub cache: Cache,
+    /// Counts up with everything that may let a waiting block I/O go on.
+    pub news: u64,
+    asked: BTreeMap<LayerId, Millis>,
+}
+
+impl Map {
+    pub fn new(host: &str, address: SocketAddr, registry: Registry, token: Token) -> Self {
+        Map {
+            host: host.to_owned(),
+            address,
+            registry,
+            token,
+            socket: None,
+            readable: false,
+            partial: Vec::new(),
+            out: Vec::new(),
+            connect_at: 0,
+            cache: Cache::default(),
+            news: 0,
+            asked: BTreeMap::new(),
+        }
+    }
+
+    pub fn say(&mut self, word: &ToCatalog) {
+        if self.socket.is_some() {
+            serde_json::to_writer(&mut self.out, word).expect("words are plain");
+            self.out.push(b'\n');
+        }
+    }
+
+    /// Connects, renews, and writes what waits.
+    pub fn tend(&mut self, now: Millis) {
+        if self.socket.is_none() && now >= self.connect_at {
+            self.connect_at = now + Cache::CONNECT_AGAIN;
+            match TcpStream::connect(self.address) {
+                Ok(mut socket) => {
+                    let _ = socket.set_nodelay(true);
+                    let interest = Interest::READABLE | Interest::WRITABLE;
+                    if self.registry.register(&mut socket, self.token, interest).is_ok() {
+                        self.socket = Some(socket);
+                        self.partial.clear();
+                        self.out.clear();
+                        self.asked.clear();
+                        let host = self.host.clone();
+                        self.say(&ToCatalog::Hello { host });
+                    }
+                }
+                Err(e) => tracing::debug!(error = %e, "catalog"),
+            }
+        }
+        if self.socket.is_some() && self.cache.renews(now) {
+            let seen = self.cache.version().unwrap_or(0);
+            self.say(&ToCatalog::Renew { sent: now, seen });
+        }
+        self.flush();
+    }
+
+    /// Asks for numbers of a layer while few are left.
+    pub fn want_numbers(&mut self, layer: LayerId, now: Millis) {
+        let again = self.asked.get(&layer).is_none_or(|at| now >= at + Cache::CONNECT_AGAIN);
+        if self.cache.short(layer) && again {
+            self.asked.insert(layer, now);
+            self.say(&ToCatalog::Numbers { layer, count: mallowseam_cow::cache::NUMBERS });
+        }
+    }
+
+    pub fn flush(&mut self) {
+        let Some(socket) = &mut self.socket else { return };
+        while !self.out.is_empty() {
+            match socket.write(&self.out) {
+                Ok(n) => drop(self.out.drain(..n)),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) => return self.lose(&e.to_string()),
+            }
+        }
+    }
+
+    fn lose(&mut self, why: &str) {
+        if let Some(mut socket) = self.socket.take() {
+            let _ = self.registry.deregister(&mut socket);
+            tracing::warn!(why, "catalog connection lost");
+        }
+        self.cache.lost();
+    }
+
+    pub fn ready(&mut self, readable: bool, scratch: &mut [u8], now: Millis) {
+        self.readable |= readable;
+        self.flush();
+        while self.readable {
+            let Some(socket) = &mut self.socket else { return };
+            match wire::read(socket, scratch) {
+                Tried::Blocked => self.readable = false,
+                Tried::Read(n) => {
+                    let mut rest = &scratch[..n];
+                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+                        self.partial.extend_from_slice(&rest[..end]);
+                        rest = &rest[end + 1..];
+                        let line = std::mem::take(&mut self.partial);
+                        match serde_json::from_slice(&line) {
+                            Ok(word) => self.heard(word, now),
+                            Err(e) => return self.lose(&e.to_string()),
+                        }
+                    }
+                    self.partial.extend_from_slice(rest);
+                    if self.partial.len() > LINE_MOST {
+                        return self.lose("a line past 64 MiB");
+                    }
+                }
+                Tried::Over(why) => return self.lose(&why),
+            }
+        }
+        self.flush();
+    }
+
+    fn heard(&mut self, word: ToHost, now: Millis) {
+        self.news += 1;
+        match word {
+            ToHost::Whole { tree } => {
+                let version = tree.version;
+                tracing::info!(version, branches = tree.branches.len(), "catalog read");
+                self.cache.whole(*tree);
+                self.cache.lost();
+                if self.cache.renews(now) {
+                    self.say(&ToCatalog::Renew { sent: now, seen: version });
+                }
+                self.say(&ToCatalog::Seen { version });
+            }
+            ToHost::Changed { version, change } => {
+                if self.cache.changed(version, &change) {
+                    self.say(&ToCatalog::Seen { version });
+                } else {
+                    // Something was missed: a new connection opens with the whole tree.
+                    self.lose("a change does not follow what is known");
+                }
+            }
+            ToHost::Lease { sent, span } => self.cache.granted(sent, span),
+            ToHost::Numbers { layer, first, count } => {
+                self.asked.remove(&layer);
+                self.cache.given(layer, first, count);
+            }
+            ToHost::NotPlaced { .. } => {}
+        }
+    }
+}
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -5,7 +5,7 @@
 use mallowseam_conduct::lines::Line;
 use mallowseam_iscsi::initiator::{Came, InitiatorConn, Payload};
 use mallowseam_iscsi::params::Wishes;
-use mallowseam_iscsi::scsi::status;
+use mallowseam_iscsi::scsi::{Sense, status};
 use mallowseam_scheduler::host::{Ending, Tick};
 use mallowseam_settings::site;
 use mio::net::TcpStream;
@@ -28,6 +28,8 @@
 pub struct Result {
     pub tag: u32,
     pub ending: Ending,
+    /// Turned away since the unit is closed to writes: it has not run.
+    pub closed: bool,
     pub data: Vec<u8>,
 }
 
@@ -101,7 +103,7 @@
     }
 
     fn end(&mut self, at: usize, tag: u32, ending: Ending, data: Vec<u8>) {
-        self.results.push_back((at, Result { tag, ending, data }));
+        self.results.push_back((at, Result { tag, ending, closed: false, data }));
     }
 
     pub fn submit(&mut self, at: usize, order: Order, now: Tick) {
@@ -170,14 +172,17 @@
         let node = &mut self.all[at];
         node.line.down();
         for order in std::mem::take(&mut node.queue) {
-            self.results.push_back((at, Result { tag: order.tag, ending: Ending::NoConnect, data: vec![] }));
+            self.results.push_back((
+                at,
+                Result { tag: order.tag, ending: Ending::NoConnect, closed: false, data: vec![] },
+            ));
         }
         if let Some(mut link) = node.link.take() {
             let _ = self.registry.deregister(&mut link.socket);
             for tag in link.conn.tags().collect::<Vec<_>>() {
                 let ran = link.conn.on_the_wire(tag);
                 let ending = if ran { Ending::Reset } else { Ending::NoConnect };
-                self.results.push_back((at, Result { tag, ending, data: vec![] }));
+                self.results.push_back((at, Result { tag, ending, closed: false, data: vec![] }));
             }
         }
     }
@@ -222,6 +227,10 @@
                         self.submit(at, order, now);
                     }
                 }
+                Came::Answer { tag, sense: Some(Sense::WRITE_PROTECTED), .. } => {
+                    let (ending, data) = (Ending::Moot, Vec::new());
+                    self.results.push_back((at, Result { tag, ending, closed: true, data }));
+                }
                 Came::Answer { tag, status: code, data, .. } => {
                     let ending = match code {
                         status::GOOD => Ending::Done,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 use crate::control::{self, CommandStatus, Control, GroupStatus, NodeStatus, Status};
 use crate::desk::Desk;
 use crate::list::List;
+use crate::map::Map;
 use crate::nodes::Nodes;
 use crate::terms;
 use mallowseam_conduct::door::Door;
@@ -25,7 +26,8 @@
 const CONTROL: Token = Token(1);
 const LIST: Token = Token(2);
 const SIGNALS: Token = Token(3);
-const CALLERS: usize = 4;
+const MAP: Token = Token(4);
+const CALLERS: usize = 5;
 const NODES: usize = CALLERS + control::MOST;
 /// Bytes read from a socket in one go; each ready socket has its turn.
 const SCRATCH: usize = 128 * 1024;
@@ -43,7 +45,13 @@
     }
 }
 
-fn failure(what: String) -> impl FnOnce(io::Error) -> Failure {
+impl Failure {
+    pub(crate) fn new(what: String) -> Self {
+        Failure(what)
+    }
+}
+
+pub(crate) fn failure(what: String) -> impl FnOnce(io::Error) -> Failure {
     move |e| Failure(format!("{what}: {e}"))
 }
 
@@ -110,7 +118,7 @@
             ),
             None => None,
         };
-        let signals = signals(poll).map_err(failure("signals".into()))?;
+        let signals = signals(poll, SIGNALS).map_err(failure("signals".into()))?;
         let digests = Digests { header: site.host.header_digest, data: site.host.data_digest };
         let wishes = Wishes { digests, ..Wishes::default() };
         let targets = Rc::new(TargetTerms {
@@ -124,13 +132,19 @@
         let clients = Clients::new(door, targets, registry()?, NODES + site.nodes.len());
         let initiator = format!("{}:{}", site.host.target, site.host.name);
         let nodes = Nodes::new(&site.nodes, initiator, wishes, registry()?, NODES);
+        let map = match &site.catalog {
+            Some(c) if site.volumes.iter().any(|v| v.mapped) => {
+                Some(Map::new(&site.host.name, c.listen.expect("checked"), registry()?, MAP))
+            }
+            _ => None,
+        };
         let list = List::new(&site.host, &site.nodes, registry()?, LIST);
         let seed = site.host.seed.unwrap_or_else(|| rand::rng().next_u64());
         let clock = Clock::start();
         tracing::info!(host = site.host.name, listen = %bound, seed, "host starts");
         Ok(Gateway {
             scheduler: Scheduler::new(&terms::terms(&site), seed, clock.now()),
-            desk: Desk::new(&site, clients, nodes),
+            desk: Desk::new(&site, clients, nodes, map),
             list,
             listener,
             accepting: false,
@@ -165,7 +179,7 @@
             return Some(std::time::Duration::ZERO);
         }
         let mut due = self.looked + LOOK;
-        for at in [self.desk.wake_at, self.desk.next_timer()].into_iter().flatten() {
+        for at in [self.desk.wake_at, self.desk.next_timer(), self.desk.next_look()].into_iter().flatten() {
             due = due.min(at);
         }
         Some(span(due - self.clock.now()))
@@ -180,6 +194,12 @@
                     control.accept();
                 }
             }
+            MAP => {
+                if let Some(map) = &mut self.desk.map {
+                    map.ready(readable, &mut self.scratch, millis(now));
+                }
+                self.desk.settle(&mut self.scheduler);
+            }
             LIST => self.list.ready(readable, &mut self.scratch, now),
             SIGNALS => {
                 let mut bytes = [0; 16];
@@ -270,6 +290,9 @@
             self.hear_list();
             self.desk.settle(&mut self.scheduler);
         }
+        if let Some(map) = &mut self.desk.map {
+            map.tend(millis(self.desk.now));
+        }
         self.desk.nodes.flush();
         let mut again = Vec::new();
         self.desk.clients.flush(self.desk.now, &mut again);
@@ -397,13 +420,13 @@
 }
 
 /// SIGTERM and SIGINT as bytes on a socket that the loop watches.
-fn signals(poll: &Poll) -> io::Result<UnixStream> {
+pub(crate) fn signals(poll: &Poll, token: Token) -> io::Result<UnixStream> {
     let (mine, theirs) = std::os::unix::net::UnixStream::pair()?;
     mine.set_nonblocking(true)?;
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
     }
     let mut mine = UnixStream::from_std(mine);
-    poll.registry().register(&mut mine, SIGNALS, Interest::READABLE)?;
+    poll.registry().register(&mut mine, token, Interest::READABLE)?;
     Ok(mine)
 }
--- /dev/null
+++ b/crates/lab/tests/snapshots.rs
@@ -0,0 +1,289 @@
+//! Snapshots and clones through real processes: a catalog, two hosts, three stand-in nodes.
+use mallowseam_gateway::ask;
+use mallowseam_iscsi::scsi::{self, Sense, status};
+use mallowseam_lab::block;
+use mallowseam_lab::counter::{Answer, Counter};
+use mallowseam_lab::node::{Fault, Model, Node};
+use mallowseam_lab::trace::Trace;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+const TARGET: &str = "iqn.t:gateway";
+const EXTENT: u64 = 32;
+
+struct Rig {
+    dir: tempfile::TempDir,
+    catalog: Option<Child>,
+    hosts: Vec<Child>,
+    at: Vec<SocketAddr>,
+    nodes: Vec<Node>,
+}
+
+impl Rig {
+    fn new() -> Rig {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let (pid, run) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let address =
+            |n| SocketAddr::from(([127, 180 + (pid >> 8) as u8 % 30, pid as u8, run * 10 + n], 3260));
+        let model = Model {
+            cores: 4,
+            unit_work: 50.0,
+            unit_bytes: 4096,
+            queue: 64,
+            cold_from: 1.0,
+            cold_span: 0,
+            fall_multiple: 2.0,
+            fall_span: 0,
+            cold_bears: 0.0,
+        };
+        let node = |n: u8| {
+            let target = format!("iqn.t:node{n}");
+            Node::start(n.into(), address(n), &target, model.clone(), Trace::off(), 1).expect("a node")
+        };
+        let dir = tempfile::tempdir().expect("a directory");
+        let at = vec![address(5), address(6)];
+        for (i, host) in at.iter().enumerate() {
+            let d = dir.path().display();
+            let mut text = format!(
+                "host gw{i}\n  listen {host}\n  target {TARGET}\n  control \"{d}/gw{i}.sock\"\n  \
+                 node-list static\n  window 32\n  connections 40\n  longest 1MiB\n  seed {i}\nfleet\n  hosts 2\n  \
+                 unit 4KiB\n  mean-units 2\n  largest-units 8\n  submits 3\n  come-back 500ms\n  \
+                 order-rest 200ms\ncatalog\n  listen {}\n  store \"{d}/store\"\n  control \"{d}/catalog.sock\"\n  \
+                 extent {EXTENT}\n  copies copy\nplan free\n  reserve 9999/s\ngroup read\n  effect idempotent\n  \
+                 goal 2s\n  hard-limit 4s\n  gain 3\ngroup post\n  effect side-effecting\n  goal 2s\n  \
+                 hard-limit 3s\n  gain 2\n  ordered\ngroup copy\n  effect idempotent\n  goal 1s\n  \
+                 hard-limit 2s\n  gain 2\nvolume a\n  lun 0\n  plan free\n  blocks 512\n  block-size 512B\n  \
+                 hosts 2\n  mapped\n  rule read read\n  rule write post key 8\n",
+                address(4)
+            );
+            for n in 0..3 {
+                text += &format!("node node{n}\n  address {}\n  target iqn.t:node{n}\n", address(n));
+            }
+            std::fs::write(dir.path().join(format!("conf{i}")), text).expect("a file");
+        }
+        let nodes = (0..3).map(node).collect();
+        let mut rig = Rig { dir, catalog: None, hosts: Vec::new(), at, nodes };
+        rig.start_catalog();
+        for i in 0..2 {
+            rig.hosts.push(rig.start(&["run", "--log", "error"], i, &format!("gw{i}.sock"), "status"));
+        }
+        rig
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    fn start(&self, what: &[&str], conf: usize, sock: &str, asked: &str) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mallowseam-lab"));
+        command.arg("host").args(what).arg(self.path(&format!("conf{conf}")));
+        let child = command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().expect("a process");
+        let began = Instant::now();
+        while ask(&self.path(sock), asked).is_err() {
+            assert!(began.elapsed() < Duration::from_secs(10), "{what:?} does not start");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        child
+    }
+
+    fn start_catalog(&mut self) {
+        self.catalog = Some(self.start(&["catalog", "--log", "error"], 0, "catalog.sock", "list"));
+    }
+
+    fn kill_catalog(&mut self) {
+        let mut child = self.catalog.take().expect("it runs");
+        child.kill().expect("a child");
+        child.wait().expect("a child");
+    }
+
+    fn tell(&self, line: &str) -> Result<String, String> {
+        ask(&self.path("catalog.sock"), line).map_err(|e| e.to_string())
+    }
+
+    /// Takes a snapshot, or makes a clone; its LUN.
+    fn unit(&self, line: &str) -> u32 {
+        let told = self.tell(line).expect(line);
+        told.rsplit(' ').next().and_then(|n| n.parse().ok()).expect("a LUN")
+    }
+
+    fn client(&self, host: usize) -> Counter {
+        Counter::open(self.at[host], Some(TARGET), host as u32).expect("a login")
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        for child in self.hosts.iter_mut().chain(&mut self.catalog) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn write(client: &mut Counter, lun: u32, id: u64, lba: u64, blocks: u32) -> Answer {
+    client.ask(lun, &scsi::rw16(true, lba, blocks, 0), 0, block::write(id, lba, blocks)).expect("an answer")
+}
+
+fn put(client: &mut Counter, lun: u32, id: u64, lba: u64, blocks: u32) {
+    let answer = write(client, lun, id, lba, blocks);
+    assert_eq!(answer.status, status::GOOD, "{:?}", answer.sense);
+}
+
+/// Which write each block shows.
+fn show(client: &mut Counter, lun: u32, lba: u64, blocks: u32) -> Vec<u64> {
+    let room = blocks as usize * 512;
+    let answer = client.ask(lun, &scsi::rw16(false, lba, blocks, 0), room, vec![]).expect("an answer");
+    assert_eq!(answer.status, status::GOOD, "{:?}", answer.sense);
+    let shown = answer.data.chunks(512).enumerate();
+    shown.map(|(i, b)| block::read(b, lba + i as u64).expect("a whole write")).collect()
+}
+
+#[test]
+fn a_snapshot_keeps_what_stood_there_and_a_clone_goes_its_own_way() {
+    let rig = Rig::new();
+    let (mut one, mut two) = (rig.client(0), rig.client(1));
+    assert_eq!(show(&mut one, 0, 0, 64), [0; 64]);
+    put(&mut one, 0, 1, 28, 8);
+    assert_eq!(show(&mut two, 0, 26, 12), [0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 0, 0]);
+    let march = rig.unit("snapshot a march");
+    put(&mut two, 0, 2, 32, 8);
+    assert_eq!(show(&mut one, 0, 28, 12), [1, 1, 1, 1, 2, 2, 2, 2, 2, 2, 2, 2]);
+    let clone = rig.unit("clone a@march c");
+    put(&mut one, clone, 3, 24, 8);
+    for client in [&mut one, &mut two] {
+        assert_eq!(show(client, march, 26, 12), [0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 0, 0]);
+        assert_eq!(show(client, clone, 24, 12), [3, 3, 3, 3, 3, 3, 3, 3, 1, 1, 1, 1]);
+        assert_eq!(show(client, 0, 24, 8), [0, 0, 0, 0, 1, 1, 1, 1]);
+    }
+    let refused = write(&mut one, march, 4, 0, 8);
+    assert_eq!(refused.sense, Some(Sense::WRITE_PROTECTED));
+    assert_eq!(rig.tell("diff a a@march").expect("told"), "32-63");
+    assert_eq!(rig.tell("rollback a a@march").expect("told"), "a shows a@march");
+    assert_eq!(show(&mut two, 0, 26, 12), [0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 0, 0]);
+}
+
+#[test]
+fn whoever_writes_through_whichever_host_every_read_shows_the_last_write_through_all_cuts() {
+    let rig = Rig::new();
+    let mut clients = [rig.client(0), rig.client(1)];
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut stands = vec![0; 512];
+    let mut kept: Vec<(u32, Vec<u64>)> = Vec::new();
+    for id in 1..=400 {
+        let client = &mut clients[rng.random_range(0..2)];
+        let lba = rng.random_range(0..60) * 8;
+        if rng.random_range(0..40) == 0 {
+            let unit = rig.unit(&format!("snapshot a s{id}"));
+            kept.push((unit, stands.clone()));
+        }
+        put(client, 0, id, lba, 8);
+        stands[lba as usize..lba as usize + 8].fill(id);
+        let lba = rng.random_range(0..60) * 8;
+        let client = &mut clients[rng.random_range(0..2)];
+        assert_eq!(show(client, 0, lba, 8), stands[lba as usize..lba as usize + 8], "before write {id}");
+    }
+    assert!(kept.len() > 3, "{} snapshots", kept.len());
+    for (unit, stood) in kept {
+        assert_eq!(show(&mut clients[0], unit, 0, 512), stood, "LUN {unit}");
+    }
+}
+
+#[test]
+fn a_silent_node_fails_the_snapshot_by_name_and_a_later_one_holds_it_all() {
+    let rig = Rig::new();
+    let mut client = rig.client(0);
+    for extent in 0..8 {
+        put(&mut client, 0, extent + 1, extent * EXTENT, 8);
+    }
+    let tree: serde_json::Value = serde_json::from_str(&rig.tell("tree").expect("told")).expect("JSON");
+    let node = tree["layers"]["1024"]["places"]["0"]["node"].as_u64().expect("a place") as usize;
+    rig.nodes[node].fault(Fault::Silent(true));
+    let failed = rig.tell("snapshot a march").expect_err("a node is silent");
+    assert!(failed.contains(&format!("not closed in time by node{node}")), "{failed}");
+    assert!(!rig.tell("list").expect("told").contains("march"));
+    rig.nodes[node].fault(Fault::Silent(false));
+    let march = rig.unit("snapshot a march");
+    for extent in 0..8 {
+        assert_eq!(show(&mut client, march, extent * EXTENT, 8), [extent + 1; 8]);
+        put(&mut client, 0, 100, extent * EXTENT, 8);
+        assert_eq!(show(&mut client, march, extent * EXTENT, 8), [extent + 1; 8]);
+    }
+}
+
+#[test]
+fn a_catalog_that_is_killed_is_not_missed_and_knows_all_it_has_granted() {
+    let mut rig = Rig::new();
+    let mut client = rig.client(0);
+    put(&mut client, 0, 1, 0, 8);
+    let march = rig.unit("snapshot a march");
+    put(&mut client, 0, 2, 0, 8);
+    rig.kill_catalog();
+    put(&mut client, 0, 3, 0, 8);
+    assert_eq!(show(&mut client, 0, 0, 8), [3; 8]);
+    rig.start_catalog();
+    assert!(rig.tell("list").expect("told").contains("a@march"));
+    assert_eq!(show(&mut client, march, 0, 8), [1; 8]);
+    // A first write waits until hosts that the new catalog cannot know have lost their leases.
+    let april = rig.unit("snapshot a april");
+    loop {
+        let answer = write(&mut client, 0, 4, 0, 8);
+        if answer.status == status::GOOD {
+            break;
+        }
+        assert_eq!(answer.status, status::BUSY);
+    }
+    assert_eq!((show(&mut client, april, 0, 8), show(&mut client, 0, 0, 8)), (vec![3; 8], vec![4; 8]));
+}
+
+#[test]
+fn a_host_that_is_killed_holds_up_nobody_for_longer_than_its_lease() {
+    let mut rig = Rig::new();
+    let (mut one, mut two) = (rig.client(0), rig.client(1));
+    put(&mut two, 0, 1, 0, 8);
+    put(&mut one, 0, 2, 64, 8);
+    rig.unit("snapshot a march");
+    rig.hosts[0].kill().expect("a child");
+    rig.hosts[0].wait().expect("a child");
+    let began = Instant::now();
+    while write(&mut two, 0, 3, 0, 8).status != status::GOOD {
+        assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed());
+    }
+    assert_eq!(show(&mut two, 0, 0, 8), [3; 8]);
+}
+
+#[test]
+fn deleted_snapshots_and_clones_give_their_space_back() {
+    let rig = Rig::new();
+    let mut client = rig.client(0);
+    let layers = || {
+        let tree: serde_json::Value = serde_json::from_str(&rig.tell("tree").expect("told")).expect("JSON");
+        let layers = tree["layers"].as_object().expect("layers").clone();
+        layers.values().map(|l| l["places"].as_object().map_or(0, |p| p.len())).sum::<usize>()
+    };
+    for round in 0..3 {
+        for extent in 0..4 {
+            put(&mut client, 0, 10 * round + extent + 1, extent * EXTENT, 8);
+        }
+        rig.unit(&format!("snapshot a s{round}"));
+    }
+    put(&mut client, 0, 99, 0, 8);
+    let clone = rig.unit("clone a@s1 c");
+    put(&mut client, clone, 50, 0, 8);
+    assert_eq!(layers(), 14);
+    for name in ["a@s0", "a@s1", "c", "a@s2"] {
+        rig.tell(&format!("delete {name}")).expect(name);
+    }
+    let began = Instant::now();
+    // What the volume shows: four extents, of which one has been written since.
+    while layers() != 4 {
+        assert!(began.elapsed() < Duration::from_secs(20), "{} places", layers());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(show(&mut client, 0, 0, 8), [99; 8]);
+    assert_eq!(show(&mut client, 0, 32, 8), [22; 8]);
+}
