A silent stand-in no longer answers a command in the place of one that was aborted

The cause was the stand-in: silent, it freed the place of an aborted task and, back again, answered the next command in that place with a full queue, then ran it; the host rightly took the word of its node. What was aborted in silence now runs without an answer.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -228,8 +228,8 @@
     errors: f64,
     lose: f64,
     fallen: bool,
-    /// What came in while it was silent.
-    unheard: VecDeque<(u32, u64, Came)>,
+    /// What came in while it was silent, and whether it was aborted meanwhile.
+    unheard: VecDeque<(u32, u64, Came, bool)>,
     /// Sockets that have something to say.
     missed: HashSet<usize>,
     life: Arc<Mutex<Life>>,
@@ -341,8 +341,19 @@
         if let Came::Aborted { task } = came {
             self.trace.note(What::CalledOff { node: self.index, line, task });
         }
-        if self.silent {
-            self.unheard.push_back((at, line, came));
+        if let (true, Came::Aborted { task }) = (self.silent, &came) {
+            // The connection gives the place of the task to the next command, so it must not be answered any
+            // more, whatever is done of it.
+            let same = |i: &&mut Item| (i.line, i.task) == (line, *task);
+            let running = self.running.iter_mut().map(|r| &mut r.1);
+            running.chain(&mut self.waiting).filter(same).for_each(|i| i.orphan = true);
+            let unheard = self
+                .unheard
+                .iter_mut()
+                .filter(|u| u.1 == line && matches!(&u.2, Came::Command { task: t, .. } if t == task));
+            unheard.for_each(|u| u.3 = true);
+        } else if self.silent {
+            self.unheard.push_back((at, line, came, false));
         } else {
             self.work_on(at, line, came);
         }
@@ -407,6 +418,25 @@
         });
     }
 
+    fn run_orphan(&mut self, client: u32, line: u64, task: u32, lun: u32, cdb: &[u8; 16], data: Vec<u8>) {
+        let Some((write, lba, blocks, _)) = read_or_write(cdb) else { return };
+        if self.waiting.len() < self.model.queue && data.len() as u64 == u64::from(blocks) * 512 {
+            let work = self.model.unit_work;
+            self.waiting.push_back(Item {
+                client,
+                line,
+                task,
+                lun,
+                write,
+                lba,
+                blocks,
+                data,
+                work,
+                orphan: true,
+            });
+        }
+    }
+
     /// Closes a unit to writes, or opens it. Answered once what runs there is over, so that nothing lands later.
     fn close_unit(&mut self, at: u32, line: u64, task: u32, lun: u32, data: &[u8]) {
         match scsi::read_write_protect(data) {
@@ -573,8 +603,14 @@
             Fault::Silent(on) => {
                 self.silent = on;
                 if !on {
-                    while let Some((at, line, came)) = self.unheard.pop_front() {
-                        self.work_on(at, line, came);
+                    while let Some((at, line, came, orphan)) = self.unheard.pop_front() {
+                        match came {
+                            // It may have been begun before its abort was read: it runs, and nobody is told.
+                            Came::Command { task, lun, cdb, data, .. } if orphan => {
+                                self.run_orphan(at, line, task, lun.unwrap_or(0), &cdb, data);
+                            }
+                            came => self.work_on(at, line, came),
+                        }
                     }
                 }
             }
