--- a/crates/cow/src/free.rs
+++ b/crates/cow/src/free.rs
@@ -17,9 +17,10 @@
 }
 
 impl Free {
-    /// Takes notice of what has become waste.
-    pub fn look(&mut self, tree: &Tree, leases: &Leases, now: Millis) {
-        let waste = tree.waste();
+    /// Takes notice of what has become waste. `kept`: layers of cuts that are not granted yet. Without them a
+    /// first write in the new head would hide a place of the cut, and the snapshot would lose it.
+    pub fn look(&mut self, tree: &Tree, kept: &BTreeSet<LayerId>, leases: &Leases, now: Millis) {
+        let waste = tree.waste_beside(kept);
         self.empty = waste.iter().filter(|w| w.1.is_empty()).map(|w| *w.0).collect();
         let still = |(layer, extent): &(LayerId, u32)| waste.get(layer).is_some_and(|w| w.contains(extent));
         self.since.retain(|at, _| still(at));
@@ -79,14 +80,36 @@
         tree
     }
 
+    #[test]
+    fn a_cut_that_still_waits_loses_nothing_to_first_writes_after_it() {
+        let mut tree = Tree::default();
+        let place = |number| Place { node: 0, number };
+        for change in [
+            Change::Made { branch: "a".into(), extents: 9 },
+            Change::Numbers { layer: 1024, first: 0, count: 9 },
+            Change::Placed { layer: 1024, extent: 4, place: place(1) },
+            Change::Cut { branch: "a".into() },
+            Change::Closed { layer: 1024, node: 0 },
+            Change::Numbers { layer: 1025, first: 0, count: 9 },
+            Change::Placed { layer: 1025, extent: 4, place: place(1) },
+        ] {
+            tree.apply(&change).expect("fits");
+        }
+        let (leases, mut free) = (Leases::new(0, true), Free::default());
+        free.look(&tree, &[1024].into(), &leases, 0);
+        assert_eq!(free.lot(0, 1_000_000), []);
+        free.look(&tree, &BTreeSet::new(), &leases, 0);
+        assert_eq!(free.lot(0, 1_000_000), [(1024, 4)]);
+    }
+
     #[test]
     fn nothing_is_given_back_while_a_host_may_read_it_or_a_read_may_be_under_way() {
         let (tree, mut leases, mut free) = (deleted(), Leases::new(0, true), Free::default());
         leases.renew("a", 4, 0);
-        free.look(&tree, &leases, 10);
+        free.look(&tree, &BTreeSet::new(), &leases, 10);
         assert_eq!(free.lot(100, 1_000_000), []);
         leases.seen("a", 5);
-        free.look(&tree, &leases, 20);
+        free.look(&tree, &BTreeSet::new(), &leases, 20);
         assert_eq!(free.lot(100, 119), []);
         assert_eq!(free.lot(100, 120), [(1024, 4), (1024, 5)]);
         assert_eq!(free.lot(100, 121), [], "both are under way");
@@ -98,7 +121,7 @@
     fn a_layer_that_holds_nothing_goes_itself() {
         let (mut tree, leases, mut free) = (deleted(), Leases::new(0, true), Free::default());
         tree.apply(&Change::Freed { layer: 1024, extents: vec![4] }).expect("waste");
-        free.look(&tree, &leases, 0);
+        free.look(&tree, &BTreeSet::new(), &leases, 0);
         assert_eq!(free.empty().count(), 0);
         tree.apply(&Change::Freed { layer: 1024, extents: vec![5] }).expect("waste");
         assert!(tree.layers.is_empty());
--- a/crates/cow/src/tree.rs
+++ b/crates/cow/src/tree.rs
@@ -410,7 +410,13 @@
 
     /// Places that nobody can read any more, by layer. A layer with an empty set holds none and may go itself.
     pub fn waste(&self) -> BTreeMap<LayerId, BTreeSet<u32>> {
-        let roots = self.roots();
+        self.waste_beside(&BTreeSet::new())
+    }
+
+    /// The same, with layers that may yet become snapshots kept as if they were.
+    pub fn waste_beside(&self, kept: &BTreeSet<LayerId>) -> BTreeMap<LayerId, BTreeSet<u32>> {
+        let mut roots = self.roots();
+        roots.extend(kept.iter().filter(|k| self.layers.contains_key(k)));
         let mut read: BTreeSet<(LayerId, u32)> = BTreeSet::new();
         for root in &roots {
             // The nearest place of an extent hides those further up.
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -409,7 +409,12 @@
             return;
         }
         self.sifted = (self.next.version, self.now);
-        self.free.look(&self.next, &self.leases, now);
+        let pending = |w: &(u32, Waits)| match &w.1 {
+            Waits::Snapshot(cut) => Some(cut.layer),
+            Waits::Counts(..) => None,
+        };
+        let kept = self.waits.iter().filter_map(pending).collect();
+        self.free.look(&self.next, &kept, &self.leases, now);
         let extent_blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
         for (layer, extent) in self.free.lot(limit, now) {
             let Some(place) = self.next.layers.get(&layer).and_then(|l| l.places.get(&extent)).copied()
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -284,12 +284,14 @@
             if let Some((node, result)) = self.nodes.ended() {
                 self.submit_ended(node, result);
             }
-            if let Some((id, outcome)) = self.ended.pop_front() {
-                scheduler.ended(self, now, id, &outcome);
-            } else if let Some(id) = self.gone.pop_front() {
+            // Who has left goes first: what is taken back behind a write that was turned away must not be sent
+            // when that one makes room.
+            if let Some(id) = self.gone.pop_front() {
                 if self.ios.get(id.0).is_some() {
                     scheduler.gone(self, now, id);
                 }
+            } else if let Some((id, outcome)) = self.ended.pop_front() {
+                scheduler.ended(self, now, id, &outcome);
             } else if let Some(at) = self.fresh.pop_front() {
                 self.take(scheduler, at);
             } else if self.nodes.is_quiet() && self.clients.is_quiet() && !self.look_again(scheduler) {
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -96,13 +96,24 @@
     pub left: u64,
     pub submits: u64,
     pub further: u64,
+    pub copies: u64,
     pub blocks_checked: u64,
+    /// Snapshots read back, and what is wrong with them.
+    pub snapshots: u64,
+    pub inexact: Vec<String>,
     pub groups: Vec<GroupCount>,
 }
 
 impl Verdict {
     pub fn kept(&self) -> bool {
-        self.broken.iter().all(Vec::is_empty) && self.wrong.is_empty()
+        self.broken.iter().all(Vec::is_empty) && self.wrong.is_empty() && self.inexact.is_empty()
+    }
+
+    /// Snapshots with anything wrong in them.
+    pub fn inexact_snapshots(&self) -> u64 {
+        let mut names: Vec<&str> = self.inexact.iter().filter_map(|l| l.split(' ').next()).collect();
+        names.dedup();
+        names.len() as u64
     }
 
     /// Lines of evidence, a few for each rule.
@@ -112,6 +123,7 @@
             out.extend(lines.iter().take(EVIDENCE_MOST).map(|l| format!("broken: {rule}: {l}")));
         }
         out.extend(self.wrong.iter().take(EVIDENCE_MOST).map(|l| format!("bytes wrong: {l}")));
+        out.extend(self.inexact.iter().take(EVIDENCE_MOST).map(|l| format!("snapshot: {l}")));
         out
     }
 }
@@ -131,9 +143,19 @@
     format!("{}.{:03} s", at / 1_000_000, at / 1000 % 1000)
 }
 
+/// Where the extents of mapped volumes lay: layer, node and place to volume and extent.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    pub extent: u64,
+    pub found: HashMap<(u32, u32, u64), (usize, u64)>,
+}
+
+/// Group number of copies and of what is read back at the end, which no client uses.
+pub const COPY_MARK: u8 = 31;
+
 /// Judges what was seen, in order of time, of a run with this site and these nodes.
-pub fn judge(site: &Site, model: &Model, seen: &[Seen]) -> Verdict {
-    let mut audit = Audit { site, model, verdict: Verdict::default(), ops: Vec::new() };
+pub fn judge(site: &Site, model: &Model, seen: &[Seen], places: &Places) -> Verdict {
+    let mut audit = Audit { site, model, places, verdict: Verdict::default(), ops: Vec::new() };
     audit.gather(seen);
     audit.answers(seen);
     audit.effects();
@@ -143,6 +165,7 @@
     audit.budget();
     audit.limits();
     audit.bytes();
+    audit.snapshots(seen);
     audit.count();
     audit.verdict
 }
@@ -150,6 +173,7 @@
 struct Audit<'a> {
     site: &'a Site,
     model: &'a Model,
+    places: &'a Places,
     verdict: Verdict,
     ops: Vec<Op>,
 }
@@ -164,7 +188,12 @@
     }
 
     /// Where a node's block belongs.
-    fn volume_of(&self, node: u32, lba: u64) -> Option<(usize, u64)> {
+    fn volume_of(&self, node: u32, lun: u32, lba: u64) -> Option<(usize, u64)> {
+        if lun > 0 && self.places.extent > 0 {
+            let (number, rest) = (lba / self.places.extent, lba % self.places.extent);
+            let (volume, extent) = self.places.found.get(&(lun, node, number))?;
+            return Some((*volume, extent * self.places.extent + rest));
+        }
         self.site.volumes.iter().enumerate().find_map(|(v, volume)| {
             let here = |e: &&mallowseam_settings::site::Extent| {
                 e.node == node as usize && (e.node_first..e.node_first + e.blocks).contains(&lba)
@@ -227,12 +256,22 @@
                     self.verdict.doubled += 1;
                     self.broken(0, format!("at {} client {client} got an answer too many", seconds(s.at)));
                 }
-                What::Got { node, line, task, lun: _, write, lba, blocks, mark, wrote, host } => {
+                What::Got { mark: COPY_MARK, .. } => self.verdict.copies += 1,
+                What::Got { node, line, task, lun, write, lba, blocks, mark, wrote, host, first } => {
                     self.verdict.submits += 1;
-                    let Some((volume, lba)) = self.volume_of(*node, *lba) else {
+                    let found = self.volume_of(*node, *lun, *lba);
+                    if found.is_none() && *lun > 0 {
+                        // A clone's, or in a layer that no volume is read by any more.
+                        continue;
+                    }
+                    let Some((volume, lba)) = found else {
                         self.broken(0, format!("at {} node{node} got blocks of no volume", seconds(s.at)));
                         continue;
                     };
+                    if first.is_some_and(|f| *write && f != lba) {
+                        let line = format!("at {} node{node} got block {first:?} as {lba}", seconds(s.at));
+                        self.broken(0, line);
+                    }
                     let within = |o: &Op| {
                         o.volume == volume
                             && o.lba <= lba
@@ -593,6 +632,64 @@
         Some(format!("shows {id}, though {} came after it and had ended", newer.id))
     }
 
+    /// A snapshot shows every write that had ended before it was asked for, none that began after it was
+    /// granted, and of each other write all of a part or none.
+    fn snapshots(&mut self, seen: &[Seen]) {
+        let mut written: HashMap<(usize, u64), Vec<usize>> = HashMap::new();
+        for (i, op) in self.ops.iter().enumerate().filter(|o| o.1.write) {
+            for lba in op.lba..op.lba + u64::from(op.blocks) {
+                written.entry((op.volume, lba)).or_default().push(i);
+            }
+        }
+        let mut lines = Vec::new();
+        let mut count = 0;
+        for s in seen {
+            let What::Kept { volume, name, asked, blocks } = &s.what else { continue };
+            count += 1;
+            let volume = *volume as usize;
+            // As a read that began when it was asked for and ended when it was granted.
+            let read = Op {
+                id: 0,
+                host: 0,
+                volume,
+                write: false,
+                lba: 0,
+                blocks: 0,
+                group: 0,
+                key: None,
+                asked: *asked,
+                answered: None,
+                left: None,
+                read: Vec::new(),
+                subs: Vec::new(),
+            };
+            for (lba, shown) in (0u64..).zip(blocks) {
+                let all = written.get(&(volume, lba)).map_or(&[][..], Vec::as_slice);
+                if let Some(why) = self.wrong(&read, s.at, *shown, all) {
+                    lines.push(format!("{name} block {lba}: {why}"));
+                }
+                // The rest of the same part must show the same write, or a later one.
+                let Some(writer) =
+                    shown.and_then(|id| all.iter().map(|i| &self.ops[*i]).find(|o| o.id == id))
+                else {
+                    continue;
+                };
+                for other in writer.lba..writer.lba + u64::from(writer.blocks) {
+                    let apart =
+                        self.places.extent > 0 && other / self.places.extent != lba / self.places.extent;
+                    let shows = blocks.get(other as usize).copied().flatten().unwrap_or(0);
+                    let later =
+                        self.ops.iter().find(|o| o.id == shows).is_some_and(|o| o.asked >= writer.asked);
+                    if !apart && !later {
+                        lines.push(format!("{name} shows {} in block {lba} and not in {other}", writer.id));
+                    }
+                }
+            }
+        }
+        self.verdict.snapshots = count;
+        self.verdict.inexact = lines;
+    }
+
     fn count(&mut self) {
         let v = &mut self.verdict;
         v.groups = self
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -421,8 +421,8 @@
         let blocks = blocks.min((volume.blocks - lba) as u32);
         let Some((_, conn)) = client.link.as_mut().filter(|l| l.1.may_send()) else { return };
         // Two reads of the same blocks in hand differ in their mark, so that a trace can tell them apart.
-        for _ in 0..32 {
-            client.mark = (client.mark + 1) % 32;
+        for _ in 0..31 {
+            client.mark = (client.mark + 1) % 31;
             if !client.ops.iter().any(|o| o.mark == client.mark) {
                 break;
             }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -21,7 +21,7 @@
     },
     /// Play a script of trouble through real hosts and judge it by what passed on the sockets
     Rehearse {
-        /// bad-day, demo, short, or a script's file
+        /// bad-day, month-end, demo, short, or a script's file
         script: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -41,8 +41,9 @@
     },
 }
 
-const SCRIPTS: [(&str, &str); 3] = [
+const SCRIPTS: [(&str, &str); 4] = [
     ("bad-day", include_str!("../scripts/bad-day.script")),
+    ("month-end", include_str!("../scripts/month-end.script")),
     ("demo", include_str!("../scripts/demo.script")),
     ("short", include_str!("../scripts/short.script")),
 ];
@@ -139,5 +140,29 @@
     outcome.unclean.iter().for_each(|u| println!("unclean: {u}"));
     v.evidence().iter().for_each(|e| println!("{e}"));
     println!("{v}");
-    v.kept() && outcome.unclean.is_empty()
+    let c = &outcome.clones;
+    if v.snapshots + c.made > 0 || !c.not_made.is_empty() {
+        c.not_made.iter().for_each(|n| println!("not made: {n}"));
+        c.wrong.iter().for_each(|w| println!("clone: {w}"));
+        let at = |part: f64| {
+            let mut grants = c.grants.clone();
+            grants.sort_unstable();
+            grants.get(((grants.len() as f64 * part) as usize).min(grants.len().saturating_sub(1))).copied()
+        };
+        if let (Some(median), Some(last)) = (at(0.5), at(1.0)) {
+            println!(
+                "copies at the nodes: {}; granted after {median} ms in the median, {last} ms at most",
+                v.copies
+            );
+        }
+        println!(
+            "snapshots exact: {} of {}; clones apart: {} of {}; rules kept: {} of 7",
+            v.snapshots - v.inexact_snapshots(),
+            v.snapshots,
+            c.apart,
+            c.made,
+            v.broken.iter().filter(|b| b.is_empty()).count()
+        );
+    }
+    v.kept() && outcome.unclean.is_empty() && c.wrong.is_empty()
 }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -336,7 +336,20 @@
             let id = |b: &[u8]| b.first_chunk().map_or(0, |id| u64::from_le_bytes(*id));
             let (task, lun) = (*task, lun.unwrap_or(0));
             let (node, wrote) = (self.index, data.chunks(block::SIZE).map(id).collect());
-            self.trace.note(What::Got { node, host, line, task, lun, write, lba, blocks, mark, wrote });
+            let first = data.get(8..16).and_then(|b| b.first_chunk()).map(|b| u64::from_le_bytes(*b));
+            self.trace.note(What::Got {
+                node,
+                host,
+                line,
+                task,
+                lun,
+                write,
+                lba,
+                blocks,
+                mark,
+                wrote,
+                first,
+            });
         }
         if let Came::Aborted { task } = came {
             self.trace.note(What::CalledOff { node: self.index, line, task });
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -1,10 +1,13 @@
 //! Plays a script: real hosts as processes, stand-ins round them, trouble as written, then the audit.
-use crate::audit::{self, Verdict};
+use crate::audit::{self, Places, Verdict};
+use crate::block;
+use crate::counter::Counter;
 use crate::listd::{self, Listd, Word as ListWord};
 use crate::load::{self, Load, Word as LoadWord};
 use crate::node::{Fault, Node};
 use crate::script::{Event, Scene, Trouble, Which};
 use crate::trace::{Micros, Seen, Trace, What};
+use mallowseam_cow::tree::Tree;
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_nodelist::Condition;
@@ -15,11 +18,14 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 const TARGET: &str = "iqn.2026-12.example.lab:gateway";
@@ -33,6 +39,32 @@
     /// Processes that did not end as they should.
     pub unclean: Vec<String>,
     pub digest: Digest,
+    pub clones: Clones,
+}
+
+/// How clones came out, and snapshots that were refused.
+#[derive(Default)]
+pub struct Clones {
+    pub made: u64,
+    pub apart: u64,
+    /// Snapshots and clones not made, with the reason.
+    pub not_made: Vec<String>,
+    pub wrong: Vec<String>,
+    /// Milliseconds from asking to the grant, in order.
+    pub grants: Vec<u64>,
+}
+
+enum Kind {
+    Snapshot(String, String),
+    Clone(String, String),
+}
+
+struct Asked {
+    kind: Kind,
+    at: Micros,
+    answered: Micros,
+    unit: Option<u32>,
+    why: Option<String>,
 }
 
 /// Figures over all hosts, from their own status at the end.
@@ -71,6 +103,10 @@
         self.at(101 + n)
     }
 
+    fn catalog(&self) -> SocketAddr {
+        self.at(202)
+    }
+
     fn list(&self) -> SocketAddr {
         self.at(201)
     }
@@ -81,6 +117,12 @@
     let dir = dir.display();
     // The scene's own sections first: their lines keep their numbers.
     writeln!(out, "{}\n", scene.site).expect("memory");
+    if let Some((extent, copies)) = &scene.catalog {
+        writeln!(out, "catalog\n    listen {}\n    store \"{dir}/store\"", addresses.catalog())
+            .expect("memory");
+        writeln!(out, "    control \"{dir}/catalog.sock\"\n    extent {extent}\n    copies {copies}")
+            .expect("memory");
+    }
     writeln!(out, "host gw{host}\n    listen {}\n    target {TARGET}", addresses.host(host)).expect("memory");
     writeln!(out, "    control \"{dir}/gw{host}.sock\"\n    node-list {}", addresses.list()).expect("memory");
     if scene.kept_list {
@@ -115,6 +157,11 @@
     list: Listd,
     load: Load,
     hosts: Vec<HostProcess>,
+    catalog: Option<Child>,
+    /// What was asked of the catalog, in threads of their own.
+    asked: Arc<Mutex<Vec<Asked>>>,
+    askers: Vec<JoinHandle<()>>,
+    host_addresses: Vec<SocketAddr>,
     program: Program,
     dir: PathBuf,
     order: [Vec<u32>; 3],
@@ -139,7 +186,7 @@
     stage.wait_until(scene.length);
     tell(stage.trace.now(), "clients ask for nothing more");
     let outcome = stage.close();
-    if !outcome.unclean.is_empty() || !outcome.verdict.kept() {
+    if !outcome.unclean.is_empty() || !outcome.verdict.kept() || !outcome.clones.wrong.is_empty() {
         // What the hosts said is evidence.
         let _ = dir.keep();
     }
@@ -213,12 +260,19 @@
             load: Load::start(plan, trace.clone(), load_seed).map_err(failed("clients"))?,
             trace,
             hosts,
+            catalog: None,
+            asked: Arc::default(),
+            askers: Vec::new(),
+            host_addresses: (0..scene.hosts).map(|h| addresses.host(h)).collect(),
             program: program.clone(),
             dir: dir.to_owned(),
             order,
             unclean: Vec::new(),
             site,
         };
+        if scene.catalog.is_some() {
+            stage.start_catalog()?;
+        }
         for host in 0..scene.hosts {
             stage.start_host(host)?;
         }
@@ -230,23 +284,51 @@
         std::thread::sleep(Duration::from_micros(at.saturating_sub(now)));
     }
 
-    fn start_host(&mut self, n: u32) -> Result<(), String> {
-        let host = &mut self.hosts[n as usize];
+    fn start_catalog(&mut self) -> Result<(), String> {
+        let file = self.hosts[0].file.clone();
+        let child = self.spawn("catalog", &file, "catalog.log")?;
+        self.catalog = Some(child);
+        Ok(())
+    }
+
+    fn spawn(&self, what: &str, file: &Path, log: &str) -> Result<Child, String> {
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
-            .open(self.dir.join(format!("gw{n}.log")))
+            .open(self.dir.join(log))
             .map_err(|e| e.to_string())?;
-        let child = Command::new(&self.program.path)
+        Command::new(&self.program.path)
             .args(&self.program.args)
-            .arg("run")
-            .arg(&host.file)
+            .arg(what)
+            .arg(file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
-            .map_err(|e| format!("{}: {e}", self.program.path.display()))?;
-        host.child = Some(child);
+            .map_err(|e| format!("{}: {e}", self.program.path.display()))
+    }
+
+    /// Asks the catalog, in a thread of its own.
+    fn ask_catalog(&mut self, kind: Kind) {
+        let (trace, asked, sock) =
+            (self.trace.clone(), Arc::clone(&self.asked), self.dir.join("catalog.sock"));
+        self.askers.push(std::thread::spawn(move || {
+            let at = trace.now();
+            let line = match &kind {
+                Kind::Snapshot(volume, name) => format!("snapshot {volume} {name}"),
+                Kind::Clone(snapshot, name) => format!("clone {snapshot} {name}"),
+            };
+            let answer = mallowseam_gateway::ask(&sock, &line).map_err(|e| e.to_string());
+            let unit = answer.as_ref().ok().and_then(|a| a.rsplit(' ').next()?.parse().ok());
+            let entry = Asked { kind, at, answered: trace.now(), unit, why: answer.err() };
+            asked.lock().expect("no panic").push(entry);
+        }));
+    }
+
+    fn start_host(&mut self, n: u32) -> Result<(), String> {
+        let file = self.hosts[n as usize].file.clone();
+        let child = self.spawn("run", &file, &format!("gw{n}.log"))?;
+        self.hosts[n as usize].child = Some(child);
         self.trace.note(What::HostUp { host: n });
         Ok(())
     }
@@ -361,9 +443,138 @@
             Trouble::ListLag(lag) => self.list.say(ListWord::Lag(*lag)),
             Trouble::ListAway(on) => self.list.say(ListWord::Away(*on)),
             Trouble::ListBackwards => self.list.say(ListWord::Backwards),
+            Trouble::Snapshot(volume, name) => self.ask_catalog(Kind::Snapshot(volume.clone(), name.clone())),
+            Trouble::Clone(snapshot, name) => self.ask_catalog(Kind::Clone(snapshot.clone(), name.clone())),
+            Trouble::CatalogKill => {
+                if let Some(mut child) = self.catalog.take() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+            }
+            Trouble::CatalogStart => {
+                if let Err(e) = self.start_catalog() {
+                    self.unclean.push(e);
+                }
+            }
         }
     }
 
+    /// Reads every snapshot and clone back, writes to the clones, and reads all again.
+    fn read_back(&mut self) -> (Places, Clones) {
+        for asker in std::mem::take(&mut self.askers) {
+            let _ = asker.join();
+        }
+        let mut clones = Clones::default();
+        let mut places = Places::default();
+        let sock = self.dir.join("catalog.sock");
+        let tree = mallowseam_gateway::ask(&sock, "tree").map_err(|e| e.to_string());
+        let tree: Result<Tree, String> =
+            tree.and_then(|t| serde_json::from_str(&t).map_err(|e| e.to_string()));
+        let mut client = match Counter::open(self.host_addresses[0], Some(TARGET), 900) {
+            Ok(client) => client,
+            Err(e) => {
+                self.unclean.push(format!("reading back: {e}"));
+                return (places, clones);
+            }
+        };
+        match tree {
+            Ok(tree) => {
+                places.extent = self.scene.catalog.as_ref().map_or(1, |c| c.0);
+                for (volume, v) in self.site.volumes.iter().enumerate().filter(|v| v.1.mapped) {
+                    let heads = tree.branches.get(&v.name).map(|b| b.head);
+                    let cuts = tree.snapshots.values().filter(|s| s.branch == v.name).map(|s| s.layer);
+                    for root in heads.into_iter().chain(cuts) {
+                        for (layer, l) in tree.chain(root) {
+                            for (extent, p) in &l.places {
+                                let at = (layer, p.node, u64::from(p.number));
+                                places.found.insert(at, (volume, u64::from(*extent)));
+                            }
+                        }
+                    }
+                }
+            }
+            Err(e) => self.unclean.push(format!("the catalog's tree: {e}")),
+        }
+        let asked = std::mem::take(&mut *self.asked.lock().expect("no panic"));
+        let size = |v: &str| self.site.volumes.iter().find(|x| x.name == v).map_or(0, |x| x.blocks);
+        let mut shown: BTreeMap<String, Vec<Option<u64>>> = BTreeMap::new();
+        let mut kept = Vec::new();
+        let mut pairs = Vec::new();
+        for a in &asked {
+            let (name, volume) = match &a.kind {
+                Kind::Snapshot(volume, name) => (format!("{volume}@{name}"), volume.clone()),
+                Kind::Clone(snapshot, name) => {
+                    (name.clone(), snapshot.split('@').next().unwrap_or_default().to_owned())
+                }
+            };
+            let Some(unit) = a.unit else {
+                clones.not_made.push(format!("{name}: {}", a.why.clone().unwrap_or_default()));
+                continue;
+            };
+            match read_unit(&mut client, unit, size(&volume)) {
+                Ok(blocks) => {
+                    if let Kind::Clone(snapshot, _) = &a.kind {
+                        pairs.push((name, snapshot.clone(), unit, blocks));
+                    } else {
+                        clones.grants.push((a.answered - a.at) / 1000);
+                        kept.push((a, volume, name.clone(), unit));
+                        shown.insert(name, blocks);
+                    }
+                }
+                Err(e) => self.unclean.push(format!("reading {name} back: {e}")),
+            }
+        }
+        // Clones show their snapshot, then their own writes and nobody else's.
+        for (n, (name, snapshot, unit, blocks)) in pairs.iter().enumerate() {
+            clones.made += 1;
+            let mut wanted = shown.get(snapshot).cloned().unwrap_or_default();
+            let mut wrong = (*blocks != wanted).then(|| "does not show its snapshot".to_owned());
+            for i in 0..8u64 {
+                let (id, lba) = (CLONE_IDS + n as u64 * 100 + i, i * 200);
+                let cdb = mallowseam_iscsi::scsi::rw16(true, lba, 8, audit::COPY_MARK);
+                let mut answer = Err(String::new());
+                for _ in 0..20 {
+                    answer = client.ask(*unit, &cdb, 0, block::write(id, lba, 8)).map(|a| a.status);
+                    if answer == Ok(0) {
+                        wanted[lba as usize..lba as usize + 8].fill(Some(id));
+                        break;
+                    }
+                }
+                if answer != Ok(0) {
+                    wrong = wrong.or_else(|| Some(format!("takes no write: {answer:?}")));
+                }
+            }
+            match read_unit(&mut client, *unit, wanted.len() as u64) {
+                Ok(now) if now == wanted => {}
+                Ok(_) => wrong = wrong.or_else(|| Some("does not show its own writes alone".into())),
+                Err(e) => wrong = wrong.or(Some(e)),
+            }
+            match wrong {
+                Some(why) => clones.wrong.push(format!("{name}: {why}")),
+                None => clones.apart += 1,
+            }
+        }
+        // What a snapshot shows stays so, whatever its clones write; the second reading is what is judged.
+        for (a, volume, name, unit) in kept {
+            let blocks = match read_unit(&mut client, unit, size(&volume)) {
+                Ok(blocks) => blocks,
+                Err(e) => {
+                    self.unclean.push(format!("reading {name} again: {e}"));
+                    continue;
+                }
+            };
+            if shown.get(&name) != Some(&blocks) {
+                clones.wrong.push(format!("{name} has changed"));
+            }
+            let volume = self.site.volumes.iter().position(|v| v.name == volume).unwrap_or(0) as u32;
+            let what = What::Kept { volume, name, asked: a.at, blocks };
+            self.trace.note_at(a.answered, what);
+        }
+        client.conn.logout();
+        let _ = client.flush();
+        (places, clones)
+    }
+
     /// Lets what is in hand end, asks the hosts for their figures, ends them, and judges.
     fn close(mut self) -> Outcome {
         self.load.say(LoadWord::Quiet);
@@ -377,12 +588,20 @@
                 digest.status.push((format!("gw{n}"), status));
             }
         }
+        let (places, clones) =
+            if self.scene.catalog.is_some() { self.read_back() } else { Default::default() };
         for n in 0..self.scene.hosts {
             self.signal(n, Signal::SIGTERM);
         }
         for n in 0..self.scene.hosts {
             self.await_end(n);
         }
+        if let Some(mut child) = self.catalog.take() {
+            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
+            if !child.wait().is_ok_and(|s| s.success()) {
+                self.unclean.push("the catalog did not end well".into());
+            }
+        }
         let Stage { trace, load, nodes, list, site, unclean, scene, .. } = self;
         drop((load, nodes, list));
         let seen = trace.take();
@@ -390,9 +609,37 @@
         // The slowest that the stand-ins' draws allow is not what they bear: the audit takes the fastest, and
         // a node that fell says so itself.
         model.unit_work *= 0.85;
-        let verdict = audit::judge(&site, &model, &seen);
-        Outcome { verdict, seen, site, unclean, digest }
+        let verdict = audit::judge(&site, &model, &seen, &places);
+        Outcome { verdict, seen, site, unclean, digest, clones }
+    }
+}
+
+/// Ids of what is written to clones, which no client uses.
+const CLONE_IDS: u64 = 1 << 48;
+
+/// Which write each block of a unit shows. Turned away, it tries again for a while.
+fn read_unit(client: &mut Counter, unit: u32, blocks: u64) -> Result<Vec<Option<u64>>, String> {
+    let mut out = Vec::new();
+    let mut lba = 0;
+    while lba < blocks {
+        let count = (blocks - lba).min(64) as u32;
+        let cdb = mallowseam_iscsi::scsi::rw16(false, lba, count, audit::COPY_MARK);
+        let mut last = String::new();
+        let mut found = None;
+        for _ in 0..50 {
+            let answer = client.ask(unit, &cdb, count as usize * block::SIZE, Vec::new())?;
+            if answer.status == 0 {
+                found = Some(answer.data);
+                break;
+            }
+            last = format!("status {:#x}, sense {:?}", answer.status, answer.sense);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let data = found.ok_or(last)?;
+        out.extend(data.chunks(block::SIZE).zip(lba..).map(|(b, at)| block::read(b, at)));
+        lba += u64::from(count);
     }
+    Ok(out)
 }
 
 fn parse(text: &str) -> Result<mallowseam_gateway::Status, String> {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -19,6 +19,8 @@
     pub list_lag: Micros,
     pub kept_list: bool,
     pub digests: bool,
+    /// Blocks of an extent of mapped volumes, and the group of copies.
+    pub catalog: Option<(u64, String)>,
     pub events: Vec<Event>,
     /// Sections that every host's configuration has.
     pub site: String,
@@ -67,6 +69,10 @@
     ListLag(Micros),
     ListAway(bool),
     ListBackwards,
+    Snapshot(String, String),
+    Clone(String, String),
+    CatalogKill,
+    CatalogStart,
 }
 
 /// Reads a script. All its problems come back at once.
@@ -94,6 +100,7 @@
         list_lag: 0,
         kept_list: true,
         digests: false,
+        catalog: None,
         events: Vec::new(),
         site: String::new(),
     };
@@ -110,7 +117,7 @@
         if head(&mut scene, &name, &mut args) {
             args.end();
         } else {
-            let known = "day, hosts, nodes, cold, clients, list-lag, kept-list, digests, at or site";
+            let known = "day, hosts, nodes, cold, clients, list-lag, kept-list, digests, catalog, at or site";
             problems.add(at, known, format!("`{name}`"));
         }
     }
@@ -181,6 +188,11 @@
                 .unwrap_or(true);
         }
         "digests" => scene.digests = true,
+        "catalog" => {
+            let extent = args.whole("blocks of an extent", 1, 65536);
+            let copies = args.word("the name of a group");
+            scene.catalog = extent.zip(copies);
+        }
         "at" => {
             if let Some((at, begins, ends)) = event(args) {
                 scene.events.push(Event { at, trouble: begins });
@@ -199,11 +211,24 @@
 fn event(args: &mut Args) -> Option<Begun> {
     let span = "a duration such as 3s";
     let at = args.duration(span)?;
-    let place = args.at();
-    let kind = args.value("node, host, client, list, surge, load, half-logins or garbage", |w| {
-        ["node", "host", "client", "list", "surge", "load", "half-logins", "garbage"]
-            .into_iter()
-            .find(|k| *k == w)
+    const KINDS: &str =
+        "node, host, client, list, surge, load, half-logins, garbage, snapshot, clone or catalog";
+    let kind = args.value(KINDS, |w| {
+        [
+            "node",
+            "host",
+            "client",
+            "list",
+            "surge",
+            "load",
+            "half-logins",
+            "garbage",
+            "snapshot",
+            "clone",
+            "catalog",
+        ]
+        .into_iter()
+        .find(|k| *k == w)
     })?;
     let (begins, ends) = match kind {
         "node" => node(args)?,
@@ -215,11 +240,16 @@
             let times = args.number("a multiple", 0.0, 100.0)?;
             (Trouble::Surge(plan.clone(), times), Some(Trouble::Surge(plan, 1.0)))
         }
+        "snapshot" => (Trouble::Snapshot(args.word("a volume")?, args.word("a name")?), None),
+        "clone" => (Trouble::Clone(args.word("VOLUME@NAME")?, args.word("a name")?), None),
+        "catalog" => {
+            args.value("kill", |w| (w == "kill").then_some(()))?;
+            (Trouble::CatalogKill, Some(Trouble::CatalogStart))
+        }
         "load" => (Trouble::Load(args.number("a multiple", 0.0, 100.0)?), Some(Trouble::Load(1.0))),
         "half-logins" => (Trouble::HalfLogins(args.whole("a number", 1, 1000)? as u32), None),
         _ => (Trouble::Garbage(args.whole("a number", 1, 1000)? as u32), None),
     };
-    let _ = place;
     let Some(end) = ends else { return Some((at, begins, None)) };
     if !args.literal("for") {
         args.value::<()>("for DURATION", |_| None);
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -44,6 +44,8 @@
         blocks: u32,
         mark: u8,
         wrote: Vec<u64>,
+        /// The volume's block that the first block of a write says it is.
+        first: Option<u64>,
     },
     /// It answered one.
     Said {
@@ -79,6 +81,13 @@
         node: u32,
         open: bool,
     },
+    /// A snapshot was asked for and granted; how its blocks read at the end.
+    Kept {
+        volume: u32,
+        name: String,
+        asked: Micros,
+        blocks: Vec<Option<u64>>,
+    },
     /// A host's process came up, or is over.
     HostUp {
         host: u32,
@@ -130,6 +139,11 @@
         self.seen.lock().expect("no writer panics").push(Seen { at, what });
     }
 
+    /// Notes something that happened earlier.
+    pub fn note_at(&self, at: Micros, what: What) {
+        self.seen.lock().expect("no writer panics").push(Seen { at, what });
+    }
+
     /// All that was noted, in order of time.
     pub fn take(&self) -> Vec<Seen> {
         let mut seen = std::mem::take(&mut *self.seen.lock().expect("no writer panics"));
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -1,6 +1,6 @@
 //! The audit catches each broken rule in a doctored trace, and finds nothing in the sound one.
 use mallowseam_iscsi::scsi::status;
-use mallowseam_lab::audit::{Verdict, judge};
+use mallowseam_lab::audit::{Places, Verdict, judge};
 use mallowseam_lab::node::Model;
 use mallowseam_lab::trace::{Micros, Seen, What};
 use mallowseam_settings::Site;
@@ -94,7 +94,10 @@
         let wrote = if write { vec![op; 8] } else { vec![] };
         let task = self.tasks;
         let (node, line, lun) = (volume, 1, 0);
-        self.note(at, What::Got { node, host: 0, line, task, lun, write, lba, blocks: 8, mark, wrote });
+        self.note(
+            at,
+            What::Got { node, host: 0, line, task, lun, write, lba, blocks: 8, mark, wrote, first: None },
+        );
         task
     }
 
@@ -130,7 +133,7 @@
         };
         let mut seen = self.seen.clone();
         seen.sort_by_key(|s| s.at);
-        judge(&site, &model, &seen)
+        judge(&site, &model, &seen, &Places::default())
     }
 
     /// Which rules the audit holds broken; 8 stands for wrong bytes.
--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -40,7 +40,7 @@
         "s:2:7: expected 1 to 64, found `0`",
         "s:3:9: expected cores, work or queue, found `core`",
         "s:4:23: expected for DURATION, found the end of the line",
-        "s:5:7: expected node, host, client, list, surge, load, half-logins or garbage, found `nod`",
+        "s:5:7: expected node, host, client, list, surge, load, half-logins, garbage, snapshot, clone or catalog, found `nod`",
         "s:1:1: expected `clients` in the script, found none",
     ] {
         assert!(problems.contains(wanted), "{wanted}\nin\n{problems}");
