--- a/crates/cow/src/tree.rs
+++ b/crates/cow/src/tree.rs
@@ -177,6 +177,11 @@
         if id > LAYER_MOST { Err(Refused::NoLayersLeft) } else { Ok(id) }
     }
 
+    /// The number behind the last layer that was ever made.
+    pub fn layers_made(&self) -> LayerId {
+        FIRST_LAYER + self.made
+    }
+
     pub fn branch(&self, name: &str) -> Result<&Branch, Refused> {
         self.branches.get(name).ok_or_else(|| Refused::NoSuchBranch(name.to_owned()))
     }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -54,6 +54,8 @@
 enum Asked {
     Close(LayerId, u32),
     GiveBack(LayerId, u32),
+    /// A copy that came second; what is left of it if its node does not answer, `verify` finds.
+    Drop,
 }
 
 /// An operator who waits for the end of what was asked.
@@ -301,7 +303,16 @@
                             self.opening.push((version, layer, extent));
                         }
                     }
-                    _ => self.after(at, ToHost::NotPlaced { layer, extent }),
+                    Ok(Some(first)) if first == place => {}
+                    _ => {
+                        // It was never referred to and never will be.
+                        self.after(at, ToHost::NotPlaced { layer, extent });
+                        let blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
+                        let run = (u64::from(place.number) * blocks, blocks as u32);
+                        if (place.node as usize) < self.nodes.all.len() {
+                            self.order(Asked::Drop, place.node, layer, scsi::unmap(&[run]));
+                        }
+                    }
                 }
             }
         }
@@ -439,6 +450,7 @@
             let Some((asked, _)) = self.orders.remove(&tag) else { continue };
             let node = match &asked {
                 Asked::Close(_, node) => Some(*node),
+                Asked::Drop => None,
                 Asked::GiveBack(layer, extent) => {
                     self.next.layers.get(layer).and_then(|l| l.places.get(extent)).map(|p| p.node)
                 }
@@ -457,7 +469,7 @@
                 let _ = self.propose(Change::Freed { layer, extents: vec![extent] });
             }
             Asked::GiveBack(layer, extent) => self.free.failed((layer, extent)),
-            Asked::Close(..) => {}
+            Asked::Close(..) | Asked::Drop => {}
         }
     }
 
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -39,6 +39,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// With the catalog stopped, walk its store and all nodes and count references
+    Verify {
+        file: PathBuf,
+        /// Give back what nothing refers to
+        #[arg(long)]
+        mend: bool,
+    },
     /// Snapshots and clones of mapped volumes
     Snapshot {
         #[command(subcommand)]
@@ -83,20 +90,26 @@
     Clone { file: PathBuf, snapshot: String, name: String },
     /// Show a volume as it stood at VOLUME@NAME; what came later is given up
     Rollback { file: PathBuf, volume: String, snapshot: String },
+    /// Write VOLUME@NAME to a file, compressed and checksummed; a broken one is gone on with
+    Export { file: PathBuf, snapshot: String, to: PathBuf },
+    /// Write such a file into a volume or clone, which then shows just that
+    Import { file: PathBuf, from: PathBuf, name: String },
     /// Delete a snapshot or a clone; its space is given back in the background
     Delete { file: PathBuf, name: String },
 }
 
 impl Snapshot {
-    fn line(&self) -> (&Path, String) {
-        match self {
+    /// What is said to the catalog; none for what goes through a host.
+    fn line(&self) -> Option<(&Path, String)> {
+        Some(match self {
+            Snapshot::Export { .. } | Snapshot::Import { .. } => return None,
             Snapshot::Take { file, volume, name } => (file, format!("snapshot {volume} {name}")),
             Snapshot::List { file } => (file, "list".into()),
             Snapshot::Diff { file, one, other } => (file, format!("diff {one} {other}")),
             Snapshot::Clone { file, snapshot, name } => (file, format!("clone {snapshot} {name}")),
             Snapshot::Rollback { file, volume, snapshot } => (file, format!("rollback {volume} {snapshot}")),
             Snapshot::Delete { file, name } => (file, format!("delete {name}")),
-        }
+        })
     }
 }
 
@@ -133,8 +146,39 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::catalog::run(site).map_err(|e| (FAILED, e.to_string())))
         }
+        What::Verify { file, mend } => load(&file).and_then(|site| {
+            let found = crate::verify::run(&site, mend).map_err(|e| (FAILED, e))?;
+            found.faults.iter().for_each(|f| println!("fault: {f}"));
+            for (layer, place) in &found.leaked {
+                let what = if mend { "given back" } else { "leaked" };
+                let node = &site.nodes[place.node as usize].name;
+                println!("{what}: layer {layer}, place {} at {node}", place.number);
+            }
+            println!(
+                "places {}, of which hold data {}; leaked {}; faults {}",
+                found.places,
+                found.held,
+                found.leaked.len(),
+                found.faults.len()
+            );
+            let sound = found.faults.is_empty() && (mend || found.leaked.is_empty());
+            if sound { Ok(()) } else { Err((FAILED, "not sound".into())) }
+        }),
         What::Snapshot { what } => {
-            let (file, line) = what.line();
+            let Some((file, line)) = what.line() else {
+                return finish(
+                    match &what {
+                        Snapshot::Export { file, snapshot, to } => load(file).and_then(|site| {
+                            crate::archive::export(&site, snapshot, to).map_err(|e| (FAILED, e))
+                        }),
+                        Snapshot::Import { file, from, name } => load(file).and_then(|site| {
+                            crate::archive::import(&site, from, name).map_err(|e| (FAILED, e))
+                        }),
+                        _ => Ok(String::new()),
+                    }
+                    .map(|text| println!("{text}")),
+                );
+            };
             load(file).and_then(|site| {
                 let control = site.catalog.and_then(|c| c.control);
                 let path = control.ok_or_else(|| {
@@ -168,6 +212,10 @@
         What::Undrain { at } => tell(&at, "undrain").map(|text| println!("{text}")),
         What::Stop { at } => tell(&at, "stop").map(|text| println!("{text}")),
     };
+    finish(done)
+}
+
+fn finish(done: Result<(), (u8, String)>) -> ExitCode {
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err((code, text)) => {
--- a/crates/lab/src/counter.rs
+++ b/crates/gateway/src/client.rs
@@ -1,4 +1,4 @@
-//! A client with a blocking socket, for the bench and for tests: one thing at a time, or many out at once.
+//! A client with a blocking socket: for exports and imports, for the lab's bench and for tests.
 use mallowseam_iscsi::initiator::{Came, InitiatorConn};
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::scsi::Sense;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -642,7 +642,7 @@
             Scsi::ReadCapacity10 => Some(unit.capacity10()),
             Scsi::ReadCapacity16 { room } => Some(cut(unit.capacity16(), room)),
             Scsi::ModeSense { ten, page, room } => unit.mode(ten, page).map(|d| cut(d, room)),
-            Scsi::ModeSelect | Scsi::Unmap => None,
+            Scsi::ModeSelect | Scsi::Unmap | Scsi::GetLbaStatus { .. } => None,
             Scsi::Read { .. } | Scsi::Write { .. } | Scsi::ReportLuns { .. } | Scsi::RequestSense { .. } => {
                 None
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,9 @@
 //! One host: clients speak iSCSI to it, it submits to storage nodes, and `mallowseam-scheduler` decides all that
 //! happens to a block I/O in between. One thread, sockets on `mio`.
+mod archive;
 mod catalog;
 pub mod cli;
+pub mod client;
 pub mod clients;
 pub mod clock;
 mod control;
@@ -13,6 +15,7 @@
 mod run;
 pub mod slots;
 mod terms;
+mod verify;
 pub mod wire;
 
 pub use control::{Status, ask};
--- a/crates/iscsi/src/scsi.rs
+++ b/crates/iscsi/src/scsi.rs
@@ -83,6 +83,11 @@
     ModeSelect,
     /// Its data lists runs of blocks that are given back.
     Unmap,
+    /// Which blocks hold anything, from here on.
+    GetLbaStatus {
+        lba: u64,
+        room: usize,
+    },
 }
 
 fn be16(b: &[u8]) -> u16 {
@@ -126,6 +131,9 @@
             protect(Command::Write { lba: be64(&cdb[2..]), blocks: be32(&cdb[10..]), group: cdb[14] & 0x1f })
         }
         0x91 => Ok(Command::SynchronizeCache { lba: be64(&cdb[2..]), blocks: be32(&cdb[10..]) }),
+        0x9e if cdb[1] & 0x1f == 0x12 => {
+            Ok(Command::GetLbaStatus { lba: be64(&cdb[2..]), room: be32(&cdb[10..]).min(1 << 20) as usize })
+        }
         0x9e if cdb[1] & 0x1f == 0x10 => {
             Ok(Command::ReadCapacity16 { room: be32(&cdb[10..]).min(1 << 16) as usize })
         }
@@ -184,6 +192,39 @@
         .then(|| list.chunks_exact(16).map(|d| (be64(d), be32(&d[8..]))).collect())
 }
 
+/// GET LBA STATUS (SBC-3, 5.4) from a block on.
+pub fn get_lba_status(lba: u64, room: u32) -> [u8; 16] {
+    let mut cdb = [0; 16];
+    (cdb[0], cdb[1]) = (0x9e, 0x12);
+    cdb[2..10].copy_from_slice(&lba.to_be_bytes());
+    cdb[10..14].copy_from_slice(&room.to_be_bytes());
+    cdb
+}
+
+/// Its answer: runs of blocks that hold something, as many as fit the room.
+pub fn lba_status(runs: &[(u64, u32)], room: usize) -> Vec<u8> {
+    let fit = room.saturating_sub(8) / 16;
+    let runs = &runs[..runs.len().min(fit)];
+    let mut out = ((runs.len() * 16 + 4) as u32).to_be_bytes().to_vec();
+    out.extend_from_slice(&[0; 4]);
+    for (lba, blocks) in runs {
+        out.extend_from_slice(&lba.to_be_bytes());
+        out.extend_from_slice(&blocks.to_be_bytes());
+        out.extend_from_slice(&[0; 4]);
+    }
+    out
+}
+
+/// Reads it back: the runs that are mapped; none where its length does not fit.
+pub fn read_lba_status(data: &[u8]) -> Option<Vec<(u64, u32)>> {
+    let len = be32(data.get(..4)?) as usize;
+    let list = data.get(8..len + 4)?;
+    let mapped = |d: &&[u8]| d[12] & 0x0f == 0;
+    list.len()
+        .is_multiple_of(16)
+        .then(|| list.chunks_exact(16).filter(mapped).map(|d| (be64(d), be32(&d[8..]))).collect())
+}
+
 /// What a logical unit says of itself. The serial is what tells one volume from another.
 pub struct Unit<'a> {
     pub blocks: u64,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,10 +3,11 @@
 pub mod audit;
 pub mod bench;
 pub mod block;
-pub mod counter;
 pub mod listd;
 pub mod load;
 pub mod node;
 pub mod rehearse;
 pub mod script;
 pub mod trace;
+
+pub use mallowseam_gateway::client as counter;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -400,6 +400,7 @@
         let Some((write, lba, blocks, _)) = read_or_write(cdb) else {
             match scsi::read_cdb(cdb) {
                 Ok(Command::ModeSelect) => return self.close_unit(at, line, task, lun, &data),
+                Ok(Command::GetLbaStatus { lba, room }) => return self.tell_mapped(at, task, lun, lba, room),
                 Ok(Command::Unmap) => return self.give_back(at, task, lun, &data),
                 other => return self.own(at, task, room, other),
             }
@@ -488,6 +489,23 @@
         }
     }
 
+    fn tell_mapped(&mut self, at: u32, task: u32, lun: u32, from: u64, room: usize) {
+        let mut held: Vec<u64> =
+            self.blocks.keys().filter(|b| b.0 == lun && b.1 >= from).map(|b| b.1).collect();
+        held.sort_unstable();
+        let mut runs: Vec<(u64, u32)> = Vec::new();
+        for lba in held {
+            match runs.last_mut() {
+                Some((first, count)) if *first + u64::from(*count) == lba => *count += 1,
+                _ => runs.push((lba, 1)),
+            }
+        }
+        let data = scsi::lba_status(&runs, room);
+        if let Some(conn) = self.clients.answer(at) {
+            conn.good(task, &data);
+        }
+    }
+
     fn refuse(&mut self, at: u32, task: u32, sense: Sense) {
         if let Some(conn) = self.clients.answer(at) {
             conn.other(task, status::CHECK_CONDITION, Some(sense), 0);
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -50,6 +50,8 @@
     /// Snapshots and clones not made, with the reason.
     pub not_made: Vec<String>,
     pub wrong: Vec<String>,
+    /// Places that nothing referred to, as `verify` found them at the end.
+    pub leaked: u64,
     /// Milliseconds from asking to the grant, in order.
     pub grants: Vec<u64>,
 }
@@ -575,6 +577,28 @@
         (places, clones)
     }
 
+    /// Has `verify` walk catalog and nodes. What a killed host left of a copy may be found once; after it was
+    /// given back, nothing may be.
+    fn verify(&mut self, clones: &mut Clones) {
+        for mend in [true, false] {
+            let mut command = Command::new(&self.program.path);
+            command.args(&self.program.args).arg("verify").arg(&self.hosts[0].file);
+            if mend {
+                command.arg("--mend");
+            }
+            let (code, text) = match command.output() {
+                Ok(o) => (o.status.success(), String::from_utf8_lossy(&o.stdout).into_owned()),
+                Err(e) => (false, e.to_string()),
+            };
+            if mend {
+                clones.leaked = text.lines().filter(|l| l.starts_with("given back")).count() as u64;
+            }
+            if !code {
+                self.unclean.push(format!("verify: {}", text.lines().last().unwrap_or_default()));
+            }
+        }
+    }
+
     /// Lets what is in hand end, asks the hosts for their figures, ends them, and judges.
     fn close(mut self) -> Outcome {
         self.load.say(LoadWord::Quiet);
@@ -602,6 +626,10 @@
                 self.unclean.push("the catalog did not end well".into());
             }
         }
+        let mut clones = clones;
+        if self.scene.catalog.is_some() {
+            self.verify(&mut clones);
+        }
         let Stage { trace, load, nodes, list, site, unclean, scene, .. } = self;
         drop((load, nodes, list));
         let seen = trace.take();
--- a/crates/lab/tests/snapshots.rs
+++ b/crates/lab/tests/snapshots.rs
@@ -22,6 +22,7 @@
     hosts: Vec<Child>,
     at: Vec<SocketAddr>,
     nodes: Vec<Node>,
+    nodes_at: Vec<SocketAddr>,
 }
 
 impl Rig {
@@ -67,7 +68,8 @@
             std::fs::write(dir.path().join(format!("conf{i}")), text).expect("a file");
         }
         let nodes = (0..3).map(node).collect();
-        let mut rig = Rig { dir, catalog: None, hosts: Vec::new(), at, nodes };
+        let nodes_at = (0..3).map(address).collect();
+        let mut rig = Rig { dir, catalog: None, hosts: Vec::new(), at, nodes, nodes_at };
         rig.start_catalog();
         for i in 0..2 {
             rig.hosts.push(rig.start(&["run", "--log", "error"], i, &format!("gw{i}.sock"), "status"));
@@ -287,3 +289,83 @@
     assert_eq!(show(&mut client, 0, 0, 8), [99; 8]);
     assert_eq!(show(&mut client, 0, 32, 8), [22; 8]);
 }
+
+impl Rig {
+    /// Runs the program with the first host's configuration; its exit code and what it printed.
+    fn run(&self, what: &[&str], rest: &[&str]) -> (i32, String) {
+        let conf = self.path("conf0").display().to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mallowseam-lab"));
+        let output = command.arg("host").args(what).arg(conf).args(rest).output().expect("a run");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+#[test]
+fn an_export_that_broke_off_goes_on_and_an_import_shows_just_that() {
+    let rig = Rig::new();
+    let mut client = rig.client(0);
+    for extent in 0..10 {
+        put(&mut client, 0, extent + 1, extent * EXTENT + 8, 8);
+    }
+    rig.unit("snapshot a march");
+    put(&mut client, 0, 50, 8, 8);
+    let to = rig.path("march.ms");
+    let file = to.display().to_string();
+    let export = |name: &str| rig.run(&["snapshot", "export"], &[name, &file]);
+    let (code, text) = export("a@march");
+    assert!(code == 0 && text.contains("10 extents written"), "{text}");
+    let whole = std::fs::read(&to).expect("a file");
+    assert!(export("a@march").1.contains("whole already"));
+    for cut in [whole.len() - 1, whole.len() / 2, 70] {
+        std::fs::write(&to, &whole[..cut]).expect("a file");
+        let (code, text) = export("a@march");
+        assert!(code == 0, "cut at {cut}: {text}");
+        assert!(std::fs::read(&to).expect("a file") == whole, "cut at {cut}");
+    }
+    rig.unit("snapshot a april");
+    let (code, text) = export("a@april");
+    assert!(code == 1 && text.contains("holds `a@march`"), "{text}");
+
+    let clone = rig.unit("clone a@april c");
+    put(&mut client, clone, 60, 480, 8);
+    let import = || rig.run(&["snapshot", "import"], &[&file, "c"]);
+    let (code, text) = import();
+    // Extent 0 was written again since, and the last one never before.
+    assert!(code == 0 && text.contains("2 extents written"), "{text}");
+    assert!(import().1.contains("0 extents written"));
+    assert_eq!(show(&mut client, clone, 8, 8), [1; 8]);
+    assert_eq!(show(&mut client, clone, 480, 8), [0; 8]);
+    assert_eq!(show(&mut client, 0, 8, 8), [50; 8]);
+    let mut bad = whole.clone();
+    bad[whole.len() / 2] ^= 1;
+    std::fs::write(&to, bad).expect("a file");
+    let (code, text) = import();
+    assert!(code == 1 && text.contains("expected data that fits its hash"), "{text}");
+}
+
+#[test]
+fn verify_counts_every_reference_and_gives_back_what_has_none() {
+    let mut rig = Rig::new();
+    let mut client = rig.client(0);
+    for extent in 0..6 {
+        put(&mut client, 0, extent + 1, extent * EXTENT, 8);
+    }
+    rig.unit("snapshot a march");
+    put(&mut client, 0, 50, 0, 8);
+    let (code, text) = rig.run(&["verify"], &[]);
+    assert!(code == 1 && !text.contains("places"), "the catalog runs: {text}");
+    rig.kill_catalog();
+    let (code, text) = rig.run(&["verify"], &[]);
+    assert!(code == 0 && text.contains("places 7, of which hold data 7; leaked 0; faults 0"), "{text}");
+    // What a host that died halfway through a copy leaves behind.
+    let node = rig.nodes_at[1];
+    let mut straight = Counter::open(node, Some("iqn.t:node1"), 9).expect("a login");
+    let cdb = scsi::rw16(true, 900 * EXTENT, 8, 0);
+    assert_eq!(straight.ask(1025, &cdb, 0, vec![7; 4096]).expect("an answer").status, status::GOOD);
+    let (code, text) = rig.run(&["verify"], &[]);
+    assert!(code == 1 && text.contains("leaked: layer 1025, place 900 at node1"), "{text}");
+    assert_eq!(rig.run(&["verify", "--mend"], &[]).0, 0);
+    let (code, text) = rig.run(&["verify"], &[]);
+    assert!(code == 0 && text.contains("leaked 0"), "{text}");
+}
