--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -150,6 +150,7 @@
             grants.get(((grants.len() as f64 * part) as usize).min(grants.len().saturating_sub(1))).copied()
         };
         if let (Some(median), Some(last)) = (at(0.5), at(1.0)) {
+            println!("left over by hosts that died, and given back: {} places", c.leaked);
             println!(
                 "copies at the nodes: {}; granted after {median} ms in the median, {last} ms at most",
                 v.copies
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -650,7 +650,7 @@
     let mut out = Vec::new();
     let mut lba = 0;
     while lba < blocks {
-        let count = (blocks - lba).min(64) as u32;
+        let count = (blocks - lba).min(256) as u32;
         let cdb = mallowseam_iscsi::scsi::rw16(false, lba, count, audit::COPY_MARK);
         let mut last = String::new();
         let mut found = None;
