--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -256,7 +256,7 @@
                     self.verdict.doubled += 1;
                     self.broken(0, format!("at {} client {client} got an answer too many", seconds(s.at)));
                 }
-                What::Got { mark: COPY_MARK, .. } => self.verdict.copies += 1,
+                What::Got { mark: COPY_MARK, .. } if self.places.extent > 0 => self.verdict.copies += 1,
                 What::Got { node, line, task, lun, write, lba, blocks, mark, wrote, host, first } => {
                     self.verdict.submits += 1;
                     let found = self.volume_of(*node, *lun, *lba);
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -72,6 +72,8 @@
     /// Part of its commands that fail at once; part of its answers that never go out.
     Errors(f64),
     Lose(f64),
+    /// Has no room for blocks that it does not hold yet.
+    Full(bool),
     /// Does not accept connections, while those it has go on.
     Deaf(bool),
     End,
@@ -132,6 +134,7 @@
                 silent: false,
                 still: None,
                 deaf: false,
+                full: false,
                 slow: 1.0,
                 errors: 0.0,
                 lose: 0.0,
@@ -224,6 +227,7 @@
     silent: bool,
     still: Option<Micros>,
     deaf: bool,
+    full: bool,
     slow: f64,
     errors: f64,
     lose: f64,
@@ -413,6 +417,9 @@
         if write && data.len() as u64 != bytes || self.rng.random::<f64>() < self.errors {
             return self.say(at, line, task, status::CHECK_CONDITION, &[]);
         }
+        if write && self.full && !self.blocks.contains_key(&(lun, lba)) {
+            return self.say(at, line, task, status::CHECK_CONDITION, &[]);
+        }
         if self.waiting.len() >= self.model.queue {
             return self.say(at, line, task, status::TASK_SET_FULL, &[]);
         }
@@ -656,6 +663,7 @@
             Fault::Errors(part) => self.errors = part,
             Fault::Lose(part) => self.lose = part,
             Fault::Deaf(on) => self.deaf = on,
+            Fault::Full(on) => self.full = on,
             Fault::Reset => self.close_all(),
             Fault::Crash => {
                 if self.listener.take().is_some() {
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -206,7 +206,7 @@
 fn work_that_nobody_asked_for_is_caught() {
     let mut run = sound();
     run.ask(100, 5, false, 8).note(105, What::Left { op: 5 });
-    run.asked[4].4 = 31;
+    run.asked[4].4 = 30;
     run.got(110, 5);
     assert_eq!(run.broken(), [1]);
 }
@@ -350,3 +350,65 @@
         assert_eq!(run.broken(), broken, "{code:#x} {shows}");
     }
 }
+
+impl Run {
+    /// A snapshot of volume 0, asked for and granted at these times; what its first eight blocks show.
+    fn kept(&mut self, asked: Micros, granted: Micros, shows: [u64; 8]) -> &mut Self {
+        let mut blocks = vec![Some(0); 64];
+        for (block, id) in blocks.iter_mut().zip(shows) {
+            *block = Some(id);
+        }
+        let kept = What::Kept { volume: 0, name: "s".into(), asked: asked * MS, blocks };
+        self.note(granted, kept)
+    }
+
+    fn inexact(&self) -> bool {
+        !self.judge().inexact.is_empty()
+    }
+}
+
+#[test]
+fn a_snapshot_that_lacks_an_acknowledged_write_or_holds_a_later_one_is_caught() {
+    // Writes 1 and 3 end at 10 and 50.
+    for (asked, granted, shows, inexact) in [
+        (15, 18, 1, false),
+        (15, 18, 0, true),
+        (15, 18, 3, true),
+        (51, 55, 1, true),
+        (51, 55, 3, false),
+        (41, 45, 1, false),
+        (41, 45, 3, false),
+    ] {
+        let mut run = sound();
+        run.kept(asked, granted, [shows; 8]);
+        assert_eq!(run.inexact(), inexact, "asked at {asked}, shows {shows}: {:?}", run.judge().inexact);
+    }
+}
+
+#[test]
+fn a_snapshot_that_holds_half_of_a_write_or_a_shed_post_is_caught() {
+    let mut run = sound();
+    run.kept(41, 45, [3, 3, 3, 3, 1, 1, 1, 1]);
+    assert!(run.inexact());
+    let mut run = sound();
+    run.ask(100, 5, true, 0).answer(110, 5, status::BUSY, None).kept(105, 120, [5; 8]);
+    assert!(run.inexact());
+}
+
+#[test]
+fn a_snapshot_that_holds_a_later_post_without_the_one_before_it_is_caught() {
+    // Two posts of one account under way at the cut, in order: the first touches more blocks than the second.
+    for (shows, inexact) in [([6, 6, 5, 5, 5, 5, 5, 5], false), ([6, 6, 3, 3, 3, 3, 3, 3], true)] {
+        let mut run = sound();
+        run.ask(100, 5, true, 0);
+        let five = run.got(101, 5);
+        run.said(102, 0, five, status::GOOD).answer(103, 5, status::GOOD, None);
+        run.note(
+            104,
+            What::Asked { op: 6, client: 0, host: 0, volume: 0, write: true, lba: 0, blocks: 2, mark: 6 },
+        );
+        run.kept(104, 110, shows);
+        run.note(120, What::Left { op: 6 });
+        assert_eq!(run.inexact(), inexact, "{:?}", run.judge().inexact);
+    }
+}
--- a/crates/lab/tests/snapshots.rs
+++ b/crates/lab/tests/snapshots.rs
@@ -369,3 +369,51 @@
     let (code, text) = rig.run(&["verify"], &[]);
     assert!(code == 0 && text.contains("leaked 0"), "{text}");
 }
+
+#[test]
+fn a_full_node_takes_no_copies_and_no_write_is_lost_by_it() {
+    let rig = Rig::new();
+    let mut client = rig.client(0);
+    for extent in 0..6 {
+        put(&mut client, 0, extent + 1, extent * EXTENT, 8);
+    }
+    rig.unit("snapshot a march");
+    rig.nodes[2].fault(Fault::Full(true));
+    for extent in 0..12 {
+        let began = Instant::now();
+        while write(&mut client, 0, extent + 50, extent * EXTENT, 8).status != status::GOOD {
+            assert!(began.elapsed() < Duration::from_secs(10), "extent {extent}");
+        }
+    }
+    for extent in 0..12 {
+        assert_eq!(show(&mut client, 0, extent * EXTENT, 8), [extent + 50; 8]);
+    }
+    let tree: serde_json::Value = serde_json::from_str(&rig.tell("tree").expect("told")).expect("JSON");
+    let placed = tree["layers"]["1025"]["places"].as_object().expect("places").clone();
+    assert_eq!(placed.len(), 12);
+    assert!(placed.values().all(|p| p["node"] != 2), "{placed:?}");
+}
+
+#[test]
+fn a_snapshot_of_a_clone_of_a_clone_shows_its_own_line_only() {
+    let rig = Rig::new();
+    let mut client = rig.client(1);
+    put(&mut client, 0, 1, 0, 8);
+    rig.unit("snapshot a s");
+    let one = rig.unit("clone a@s one");
+    put(&mut client, one, 2, 8, 8);
+    rig.unit("snapshot one s");
+    let two = rig.unit("clone one@s two");
+    put(&mut client, two, 3, 16, 8);
+    let kept = rig.unit("snapshot two s");
+    for (lun, id) in [(0, 4), (one, 5), (two, 6)] {
+        put(&mut client, lun, id, 0, 8);
+    }
+    let firsts =
+        |client: &mut Counter, lun| -> Vec<u64> { show(client, lun, 0, 24).into_iter().step_by(8).collect() };
+    assert_eq!(firsts(&mut client, kept), [1, 2, 3]);
+    assert_eq!(firsts(&mut client, two), [6, 2, 3]);
+    assert_eq!(firsts(&mut client, one), [5, 2, 0]);
+    assert_eq!(firsts(&mut client, 0), [4, 0, 0]);
+    assert!(rig.tell("delete one").expect_err("in use").contains("one@s"));
+}
