--- /dev/null
+++ b/crates/shares/src/value.rs
@@ -0,0 +1,157 @@
+//! Whether a placement fits, and what it is worth.
+use crate::model::{Problem, SCALE, Wish};
+use std::cmp::Reverse;
+
+/// Units inside a volume's share of nine tenths of the spare earn 35 in 100, by the users' own counting; what
+/// lies inside the reserve earns all, the rest 10.
+const SHARE_PART: i128 = 9;
+const SHARE_OF: i128 = 10;
+const RESERVE_GAIN: i128 = 100;
+const SHARE_GAIN: i128 = 35;
+const REST_GAIN: i128 = 10;
+
+/// For each volume, the indices of its nodes in order.
+pub type Placement = Vec<Vec<usize>>;
+
+/// What a placement is worth; the greater the better.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Worth {
+    pub gain: i128,
+    pub cost: Reverse<u128>,
+    pub moved: Reverse<u128>,
+    /// Last of all, the least by name.
+    pub order: Reverse<Placement>,
+}
+
+/// Rates that reserves ask of each node while some nodes are away, scaled; none where a volume that must
+/// survive that has no node left.
+fn loads(
+    p: &Problem,
+    placed: &[(usize, &[usize])],
+    wishes: &dyn Fn(Wish) -> bool,
+    away: &dyn Fn(usize) -> bool,
+    survives: &dyn Fn(usize) -> bool,
+) -> Option<Vec<i128>> {
+    let mut loads = vec![0; p.nodes.len()];
+    for (v, set) in placed {
+        // Without a reserve nothing was promised that could be lost.
+        if !wishes(Wish::Reserve(*v)) || p.volumes[*v].reserve == 0 {
+            continue;
+        }
+        let reserve = i128::from(p.volumes[*v].reserve) * SCALE;
+        let left = set.iter().filter(|n| !away(**n)).count();
+        // One that need not survive keeps to its parts on the nodes that are left.
+        let among = if survives(*v) { left } else { set.len() };
+        if left == 0 {
+            if survives(*v) {
+                return None;
+            }
+            continue;
+        }
+        set.iter().filter(|n| !away(**n)).for_each(|n| loads[*n] += reserve / among as i128);
+    }
+    Some(loads)
+}
+
+/// Whether reserves fit everywhere, for the volumes placed so far: now, and with any one node or zone away.
+/// `stretch`: capacities in thousandths of what they are.
+pub fn fits(p: &Problem, placed: &[(usize, &[usize])], wishes: &dyn Fn(Wish) -> bool, stretch: u64) -> bool {
+    let within = |loads: &[i128]| {
+        loads.iter().enumerate().all(|(n, load)| {
+            !wishes(Wish::Capacity(n))
+                || *load * 1000 <= i128::from(p.nodes[n].capacity) * SCALE * i128::from(stretch)
+        })
+    };
+    let never = |_: usize| false;
+    let Some(now) = loads(p, placed, wishes, &never, &never) else { return false };
+    if !within(&now) {
+        return false;
+    }
+    let node = |v: usize| p.volumes[v].survives_node && wishes(Wish::SurvivesNode(v));
+    if placed.iter().any(|(v, _)| node(*v)) {
+        for gone in 0..p.nodes.len() {
+            match loads(p, placed, wishes, &|n| n == gone, &node) {
+                Some(loads) if within(&loads) => {}
+                _ => return false,
+            }
+        }
+    }
+    let zone = |v: usize| p.volumes[v].survives_zone && wishes(Wish::SurvivesZone(v));
+    if placed.iter().any(|(v, _)| zone(*v)) {
+        let mut zones: Vec<&str> = p.nodes.iter().map(|n| n.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        for gone in zones {
+            match loads(p, placed, wishes, &|n| p.nodes[n].zone == gone, &zone) {
+                Some(loads) if within(&loads) => {}
+                _ => return false,
+            }
+        }
+    }
+    true
+}
+
+/// Gain a second when every volume surges at once, scaled: at each node the reserve in full, then by weight
+/// of nine tenths of what the reserves leave, then what is still free in order of price.
+pub fn gain(p: &Problem, placement: &Placement) -> i128 {
+    let mut gain = 0;
+    for n in 0..p.nodes.len() {
+        let here: Vec<usize> = (0..p.volumes.len()).filter(|v| placement[*v].contains(&n)).collect();
+        let part = |v: usize, rate: u64| i128::from(rate) * SCALE / placement[v].len() as i128;
+        let reserves: i128 = here.iter().map(|v| part(*v, p.volumes[*v].reserve)).sum();
+        let capacity = i128::from(p.nodes[n].capacity) * SCALE;
+        let spare = (capacity - reserves).max(0);
+        let weights: i128 = here.iter().map(|v| i128::from(p.volumes[*v].weight)).sum();
+        let mut free = spare;
+        let mut rest = Vec::new();
+        for v in &here {
+            let volume = &p.volumes[*v];
+            let (asked, inside) = (part(*v, volume.surge), part(*v, volume.reserve));
+            let price = i128::from(volume.price);
+            gain += inside * RESERVE_GAIN * price;
+            let share = spare * SHARE_PART * i128::from(volume.weight) / (SHARE_OF * weights.max(1));
+            let shared = share.min(asked - inside);
+            gain += shared * SHARE_GAIN * price;
+            free -= shared;
+            rest.push((price, asked - inside - shared));
+        }
+        rest.sort_unstable_by(|a, b| b.cmp(a));
+        for (price, asked) in rest {
+            let served = asked.min(free);
+            gain += served * REST_GAIN * price;
+            free -= served;
+        }
+    }
+    gain
+}
+
+/// The most that a volume can gain, wherever it lies.
+pub fn most_gain(p: &Problem, volume: usize) -> i128 {
+    let v = &p.volumes[volume];
+    let (inside, rest) = (i128::from(v.reserve), i128::from(v.surge - v.reserve));
+    (inside * RESERVE_GAIN + rest * SHARE_GAIN) * SCALE * i128::from(v.price)
+}
+
+/// Data that has to move to a node set, scaled: its part of each node that it does not lie on today.
+pub fn moved(p: &Problem, volume: usize, set: &[usize]) -> u128 {
+    let v = &p.volumes[volume];
+    let fresh = set.iter().filter(|n| !v.today.contains(&p.nodes[**n].name)).count();
+    u128::from(v.size) * SCALE as u128 / set.len() as u128 * fresh as u128
+}
+
+pub fn cost(p: &Problem, used: impl Iterator<Item = usize>) -> u128 {
+    let mut nodes: Vec<usize> = used.collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    nodes.iter().map(|n| u128::from(p.nodes[*n].cost)).sum()
+}
+
+/// What a whole placement is worth.
+pub fn worth(p: &Problem, placement: &Placement) -> Worth {
+    Worth {
+        gain: gain(p, placement),
+        cost: Reverse(cost(p, placement.iter().flatten().copied())),
+        moved: Reverse(placement.iter().enumerate().map(|(v, s)| moved(p, v, s)).sum()),
+        order: Reverse(placement.clone()),
+    }
+}
