Worked-out shares for large problems: a first placement early, moves, and a proven gap

One search cannot prove a best among a thousand volumes. Now there is a bound that no placement's gain passes (all nodes as one, nine tenths of the spare to the dearest demand), a first placement by least load, moves and exchanges that keep running loads for every loss of a node or zone, and a mend from where data lies. The exact search prunes by the same bound.

--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -6,8 +6,11 @@
 //! - `model`: the problem, checked and put in order.
 //! - `value`: whether a placement fits, and what it is worth.
 //! - `search`: the best placement, proven.
+//! - `improve`: good placements of large problems, with `bound` for the proven gap.
 //! - `conflict`: where none fits, a smallest set of demands that contradict, and the least relaxation.
+pub mod bound;
 pub mod conflict;
+pub mod improve;
 pub mod model;
 pub mod search;
 pub mod value;
--- a/crates/shares/src/search.rs
+++ b/crates/shares/src/search.rs
@@ -1,7 +1,8 @@
 //! The best placement, proven: volumes one by one, the hardest first, with what cannot fit or cannot be best
 //! any more left out.
+use crate::bound::most;
 use crate::model::{Problem, Wish};
-use crate::value::{Placement, Worth, cost, fits, most_gain, moved, worth};
+use crate::value::{Placement, Worth, cost, fits, moved, worth};
 use std::cmp::Reverse;
 
 /// How a search came out.
@@ -22,8 +23,8 @@
     /// Volumes in the order in which they are placed, and their node sets.
     order: Vec<usize>,
     choices: Vec<Vec<Vec<usize>>>,
-    /// The most that the volumes from each place on can gain.
-    rest: Vec<i128>,
+    /// No placement gains more.
+    bound: i128,
     any: bool,
     steps: u64,
     best: Option<Worth>,
@@ -33,7 +34,7 @@
 pub fn solve(p: &Problem, steps: u64) -> Answer {
     let mut search = Search::new(p, &|_| true, 1000, false, steps);
     search.run();
-    let bound = search.rest[0];
+    let bound = search.bound;
     match (search.steps, search.best) {
         (0, found) => Answer::Open { found, bound },
         (_, Some(best)) => Answer::Best(best),
@@ -59,11 +60,7 @@
         let mut order: Vec<usize> = (0..p.volumes.len()).collect();
         // Few choices and much reserve first: what cannot fit shows early.
         order.sort_by_key(|v| (choices[*v].len().min(1), Reverse(p.volumes[*v].reserve), *v));
-        let mut rest = vec![0; order.len() + 1];
-        for i in (0..order.len()).rev() {
-            rest[i] = rest[i + 1] + most_gain(p, order[i]);
-        }
-        Search { p, wishes, stretch, order, choices, rest, any, steps, best: None }
+        Search { p, wishes, stretch, order, choices, bound: most(p), any, steps, best: None }
     }
 
     fn run(&mut self) {
@@ -104,12 +101,12 @@
     /// data never shrink.
     fn may_be_best(&self, depth: usize, placed: &Placement) -> bool {
         let Some(best) = self.best.as_ref().filter(|_| !self.any) else { return true };
-        if self.rest[0] > best.gain {
+        if self.bound > best.gain {
             return true;
         }
         let so_far = &self.order[..=depth];
         let spent = cost(self.p, so_far.iter().flat_map(|v| placed[*v].iter().copied()));
         let shifted: u128 = so_far.iter().map(|v| moved(self.p, *v, &placed[*v])).sum();
-        (self.rest[0], Reverse(spent), Reverse(shifted)) >= (best.gain, best.cost, best.moved)
+        (self.bound, Reverse(spent), Reverse(shifted)) >= (best.gain, best.cost, best.moved)
     }
 }
--- a/crates/shares/src/value.rs
+++ b/crates/shares/src/value.rs
@@ -4,11 +4,11 @@
 
 /// Units inside a volume's share of nine tenths of the spare earn 35 in 100, by the users' own counting; what
 /// lies inside the reserve earns all, the rest 10.
-const SHARE_PART: i128 = 9;
-const SHARE_OF: i128 = 10;
-const RESERVE_GAIN: i128 = 100;
-const SHARE_GAIN: i128 = 35;
-const REST_GAIN: i128 = 10;
+pub(crate) const SHARE_PART: i128 = 9;
+pub(crate) const SHARE_OF: i128 = 10;
+pub(crate) const RESERVE_GAIN: i128 = 100;
+pub(crate) const SHARE_GAIN: i128 = 35;
+pub(crate) const REST_GAIN: i128 = 10;
 
 /// For each volume, the indices of its nodes in order.
 pub type Placement = Vec<Vec<usize>>;
@@ -94,42 +94,40 @@
 /// Gain a second when every volume surges at once, scaled: at each node the reserve in full, then by weight
 /// of nine tenths of what the reserves leave, then what is still free in order of price.
 pub fn gain(p: &Problem, placement: &Placement) -> i128 {
-    let mut gain = 0;
-    for n in 0..p.nodes.len() {
+    let at = |n: usize| {
         let here: Vec<usize> = (0..p.volumes.len()).filter(|v| placement[*v].contains(&n)).collect();
-        let part = |v: usize, rate: u64| i128::from(rate) * SCALE / placement[v].len() as i128;
-        let reserves: i128 = here.iter().map(|v| part(*v, p.volumes[*v].reserve)).sum();
-        let capacity = i128::from(p.nodes[n].capacity) * SCALE;
-        let spare = (capacity - reserves).max(0);
-        let weights: i128 = here.iter().map(|v| i128::from(p.volumes[*v].weight)).sum();
-        let mut free = spare;
-        let mut rest = Vec::new();
-        for v in &here {
-            let volume = &p.volumes[*v];
-            let (asked, inside) = (part(*v, volume.surge), part(*v, volume.reserve));
-            let price = i128::from(volume.price);
-            gain += inside * RESERVE_GAIN * price;
-            let share = spare * SHARE_PART * i128::from(volume.weight) / (SHARE_OF * weights.max(1));
-            let shared = share.min(asked - inside);
-            gain += shared * SHARE_GAIN * price;
-            free -= shared;
-            rest.push((price, asked - inside - shared));
-        }
-        rest.sort_unstable_by(|a, b| b.cmp(a));
-        for (price, asked) in rest {
-            let served = asked.min(free);
-            gain += served * REST_GAIN * price;
-            free -= served;
-        }
-    }
-    gain
+        part_gain(p, placement, n, &here)
+    };
+    (0..p.nodes.len()).map(at).sum()
 }
 
-/// The most that a volume can gain, wherever it lies.
-pub fn most_gain(p: &Problem, volume: usize) -> i128 {
-    let v = &p.volumes[volume];
-    let (inside, rest) = (i128::from(v.reserve), i128::from(v.surge - v.reserve));
-    (inside * RESERVE_GAIN + rest * SHARE_GAIN) * SCALE * i128::from(v.price)
+/// The part of it that one node gives the volumes that lie there.
+pub fn part_gain(p: &Problem, placement: &Placement, n: usize, here: &[usize]) -> i128 {
+    let part = |v: usize, rate: u64| i128::from(rate) * SCALE / placement[v].len() as i128;
+    let reserves: i128 = here.iter().map(|v| part(*v, p.volumes[*v].reserve)).sum();
+    let capacity = i128::from(p.nodes[n].capacity) * SCALE;
+    let spare = (capacity - reserves).max(0);
+    let weights: i128 = here.iter().map(|v| i128::from(p.volumes[*v].weight)).sum();
+    let (mut gain, mut free) = (0, spare);
+    let mut rest = Vec::new();
+    for v in here {
+        let volume = &p.volumes[*v];
+        let (asked, inside) = (part(*v, volume.surge), part(*v, volume.reserve));
+        let price = i128::from(volume.price);
+        gain += inside * RESERVE_GAIN * price;
+        let share = spare * SHARE_PART * i128::from(volume.weight) / (SHARE_OF * weights.max(1));
+        let shared = share.min(asked - inside);
+        gain += shared * SHARE_GAIN * price;
+        free -= shared;
+        rest.push((price, asked - inside - shared));
+    }
+    rest.sort_unstable_by(|a, b| b.cmp(a));
+    for (price, asked) in rest {
+        let served = asked.min(free);
+        gain += served * REST_GAIN * price;
+        free -= served;
+    }
+    gain
 }
 
 /// Data that has to move to a node set, scaled: its part of each node that it does not lie on today.
