mallowseam shares: problems and placements as files, the contradiction with its own code

Operators have to be able to ask for a placement, see why it is so and hold another against it. work-out, explain and compare read files in the manner of the configuration, all mistakes at once; code 3 and the contradiction where nothing fits. mallowseam-lab shares-check holds the search against the plain enumeration on fresh problems.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -1,14 +1,17 @@
 //! The command line of `mallowseam`.
 use crate::control::{self, Status};
+use crate::shares;
 use clap::{Parser, Subcommand, ValueEnum};
 use mallowseam_settings::Site;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-/// Exit codes: 0 done, 1 could not be done, 2 a bad command line (clap's own) or configuration.
+/// Exit codes: 0 done, 1 could not be done, 2 a bad command line (clap's own) or file.
 const FAILED: u8 = 1;
 const BAD_FILE: u8 = 2;
+/// Worked-out shares: proven that nothing fits.
+const IMPOSSIBLE: u8 = 3;
 
 #[derive(Parser)]
 #[command(name = "mallowseam", version, about = "A storage gateway for small sites", max_term_width = 100)]
@@ -39,6 +42,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Work out ahead of time which nodes volumes lie on
+    Shares {
+        #[command(subcommand)]
+        what: Shares,
+    },
     /// With the catalog stopped, walk its store and all nodes and count references
     Verify {
         file: PathBuf,
@@ -78,6 +86,24 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Shares {
+    /// The best placement, or a good one with a proven gap; code 3 and the contradiction if nothing fits
+    WorkOut {
+        /// The problem's file
+        file: PathBuf,
+        /// Time for a problem too large to be searched through
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// How full each node is with a placement
+    Explain { file: PathBuf, placement: PathBuf },
+    /// What two placements are worth, side by side
+    Compare { file: PathBuf, one: PathBuf, other: PathBuf },
+}
+
 #[derive(Subcommand)]
 enum Snapshot {
     /// Take one: VOLUME@NAME holds every write acknowledged before, none begun after
@@ -146,6 +172,23 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::catalog::run(site).map_err(|e| (FAILED, e.to_string())))
         }
+        What::Shares { what } => {
+            let ended = match what {
+                Shares::WorkOut { file, seconds, seed } => {
+                    shares::work_out(&file, std::time::Duration::from_secs(seconds), seed)
+                }
+                Shares::Explain { file, placement } => shares::explain(&file, &placement),
+                Shares::Compare { file, one, other } => shares::compare(&file, &one, &other),
+            };
+            match ended {
+                shares::Ended::Done(text) => {
+                    println!("{text}");
+                    Ok(())
+                }
+                shares::Ended::Impossible(why) => Err((IMPOSSIBLE, why)),
+                shares::Ended::Wrong(why) => Err((BAD_FILE, why)),
+            }
+        }
         What::Verify { file, mend } => load(&file).and_then(|site| {
             let found = crate::verify::run(&site, mend).map_err(|e| (FAILED, e))?;
             found.faults.iter().for_each(|f| println!("fault: {f}"));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod map;
 mod nodes;
 mod run;
+mod shares;
 pub mod slots;
 mod terms;
 mod verify;
--- /dev/null
+++ b/crates/gateway/src/shares.rs
@@ -0,0 +1,303 @@
+//! `mallowseam shares`: problems and placements as files, and what is worked out told.
+use mallowseam_settings::lines::{Args, At, Problems, words};
+use mallowseam_shares::bound;
+use mallowseam_shares::conflict::explain as contradict;
+use mallowseam_shares::improve::Improve;
+use mallowseam_shares::model::{MOST, Node, Problem, SCALE, Volume};
+use mallowseam_shares::search::{Answer, solve};
+use mallowseam_shares::value::{Placement, Worth, fits, worth};
+use std::fmt::Write;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Steps of the exact search before a large problem goes on by moves, and moves between two looks at the time.
+const EXACT_STEPS: u64 = 300_000;
+const MOVES: u64 = 2_000;
+/// What a unit's gain is multiplied by inside: thousandths of units and of price, parts of a hundred, `SCALE`.
+const GAIN: f64 = 1000.0 * 1000.0 * 100.0 * SCALE as f64;
+
+/// How it ended.
+pub enum Ended {
+    Done(String),
+    /// Proven that nothing fits, with why.
+    Impossible(String),
+    Wrong(String),
+}
+
+/// Reads a problem: sections `node NAME` and `volume NAME`, as `docs/shares.md` lists them.
+pub fn read(file: &Path) -> Result<Problem, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let mut problems = Problems::new(&name);
+    let (mut nodes, mut volumes): (Vec<Node>, Vec<Volume>) = (Vec::new(), Vec::new());
+    let mut places: Vec<(String, At)> = Vec::new();
+    let mut section = "";
+    for (i, line) in text.lines().enumerate() {
+        let words = words(i + 1, line, &mut problems);
+        let Some(first) = words.first() else { continue };
+        let at = first.at;
+        let word = first.text.clone();
+        let mut args = Args::new(&words, &mut problems);
+        if !line.starts_with(char::is_whitespace) {
+            section = match word.as_str() {
+                "node" => "node",
+                "volume" => "volume",
+                other => {
+                    problems.add(at, "a section: node or volume", format!("`{other}`"));
+                    ""
+                }
+            };
+            let mut args = Args::new(&words, &mut problems);
+            let Some(name) = args.name("a name of letters, digits and -_.:").filter(|_| !section.is_empty())
+            else {
+                section = "";
+                continue;
+            };
+            args.end();
+            places.push((name.text.clone(), at));
+            if section == "node" {
+                nodes.push(Node { name: name.text, ..Node::default() });
+            } else {
+                let volume =
+                    Volume { name: name.text, weight: 1, price: 1000, spread: 1, ..Volume::default() };
+                volumes.push(volume);
+            }
+            continue;
+        }
+        let known = match section {
+            "node" => node(nodes.last_mut().expect("open"), &word, &mut args),
+            "volume" => volume(volumes.last_mut().expect("open"), &word, &mut args),
+            _ => true,
+        };
+        if known {
+            args.end();
+        } else {
+            problems.add(at, format!("a directive of section `{section}`"), format!("`{word}`"));
+        }
+    }
+    for v in &mut volumes {
+        v.surge = v.surge.max(v.reserve);
+    }
+    if !problems.is_empty() {
+        return Err(problems.sorted().to_string());
+    }
+    Problem::new(nodes, volumes).map_err(|wrong| {
+        for w in wrong {
+            let at = places.iter().find(|p| p.0 == w.name).map_or(At { line: 1, column: 1 }, |p| p.1);
+            problems.add(at, w.expected, format!("`{}`", w.name));
+        }
+        problems.sorted().to_string()
+    })
+}
+
+const RATE: &str = "units a second such as 20/s or 0.125/s";
+
+fn node(node: &mut Node, word: &str, args: &mut Args) -> bool {
+    match word {
+        "capacity" => node.capacity = args.exact_rate(RATE).unwrap_or(0),
+        "cost" => node.cost = args.whole("a whole number", 0, MOST).unwrap_or(0),
+        "zone" => node.zone = args.name("a name").map(|w| w.text).unwrap_or_default(),
+        _ => return false,
+    }
+    true
+}
+
+fn volume(v: &mut Volume, word: &str, args: &mut Args) -> bool {
+    match word {
+        "reserve" => v.reserve = args.exact_rate(RATE).unwrap_or(0),
+        "surge" => v.surge = args.exact_rate(RATE).unwrap_or(0),
+        "weight" => v.weight = args.whole("a whole number", 0, MOST).unwrap_or(0),
+        "price" => v.price = args.whole("thousandths, 1000 for the plain price", 0, MOST).unwrap_or(0),
+        "spread" => v.spread = args.whole("1 to 8 nodes", 1, 8).unwrap_or(1) as usize,
+        "size" => v.size = args.whole("a whole number", 0, MOST).unwrap_or(0),
+        "apart" => v.apart = true,
+        "zone" => v.zone = args.name("a name").map(|w| w.text),
+        "survives" => match args.value("node or zone", |w| matches!(w, "node" | "zone").then(|| w == "node"))
+        {
+            Some(true) => v.survives_node = true,
+            Some(false) => v.survives_zone = true,
+            None => {}
+        },
+        "today" => {
+            while args.more() {
+                v.today.extend(args.name("the name of a node").map(|w| w.text));
+            }
+        }
+        _ => return false,
+    }
+    true
+}
+
+/// Works a problem out within about so long, and tells the placement as lines that `compare` reads.
+pub fn work_out(file: &Path, within: Duration, seed: u64) -> Ended {
+    let p = match read(file) {
+        Ok(p) => p,
+        Err(why) => return Ended::Wrong(why),
+    };
+    let began = Instant::now();
+    let (found, proven) = match solve(&p, EXACT_STEPS) {
+        Answer::Best(best) => (Some(best), true),
+        Answer::None => return impossible(&p),
+        Answer::Open { found, .. } => {
+            let mut improve = Improve::new(&p, seed);
+            improve.from_today();
+            let mut placed = improve.mend();
+            if !placed {
+                improve = Improve::new(&p, seed);
+                placed = improve.first();
+            }
+            while placed && began.elapsed() < within {
+                improve.improve(MOVES);
+            }
+            let moved = improve.worth().filter(|_| placed && improve.sound());
+            (found.into_iter().chain(moved).max(), false)
+        }
+    };
+    match found {
+        Some(best) => Ended::Done(tell(&p, &best, proven)),
+        None => match impossible(&p) {
+            Ended::Impossible(why) => Ended::Impossible(why),
+            _ => Ended::Wrong("no placement was found in time, and none was proven impossible".into()),
+        },
+    }
+}
+
+fn impossible(p: &Problem) -> Ended {
+    let Some(conflict) = contradict(p, EXACT_STEPS) else {
+        return Ended::Wrong("nothing fits; the contradiction is too large to be named in time".into());
+    };
+    let mut out =
+        String::from("nothing fits; these contradict, and without any one of them the rest would do:");
+    for wish in &conflict.demands {
+        write!(out, "\n  {}", p.tell(*wish)).expect("memory");
+    }
+    match conflict.stretch {
+        Some(s) => write!(out, "\nleast relaxation: all capacities times {}.{:03}", s / 1000, s % 1000),
+        None => write!(out, "\nno capacity would do"),
+    }
+    .expect("memory");
+    Ended::Impossible(out)
+}
+
+fn tell(p: &Problem, best: &Worth, proven: bool) -> String {
+    let most = bound::most(p);
+    let mut out = String::new();
+    for (v, set) in p.volumes.iter().zip(&best.order.0) {
+        let names: Vec<&str> = set.iter().map(|n| p.nodes[*n].name.as_str()).collect();
+        writeln!(out, "place {} {}", v.name, names.join(" ")).expect("memory");
+    }
+    let gap = if most > 0 { 100.0 * (most - best.gain) as f64 / most as f64 } else { 0.0 };
+    write!(
+        out,
+        "# gain {:.3} a second in a surge of all, bound {:.3}, gap {gap:.2} %{}; cost {}; data moved {}",
+        best.gain as f64 / GAIN,
+        most as f64 / GAIN,
+        if proven { ", proven best" } else { "" },
+        best.cost.0,
+        best.moved.0 as f64 / SCALE as f64
+    )
+    .expect("memory");
+    out
+}
+
+/// Reads a placement: lines `place VOLUME NODE …`.
+fn placement(p: &Problem, file: &Path) -> Result<Placement, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let mut problems = Problems::new(&name);
+    let mut at: Placement = vec![Vec::new(); p.volumes.len()];
+    for (i, line) in text.lines().enumerate() {
+        let words = words(i + 1, line, &mut problems);
+        let Some(first) = words.first() else { continue };
+        let start = first.at;
+        let mut args = Args::new(&words, &mut problems);
+        let volume = args.value("the name of a volume", |w| p.volumes.iter().position(|v| v.name == w));
+        let mut set = Vec::new();
+        while args.more() {
+            set.extend(args.value("the name of a node", |w| p.nodes.iter().position(|n| n.name == w)));
+        }
+        set.sort_unstable();
+        set.dedup();
+        if let Some(v) = volume {
+            if set.len() != p.volumes[v].spread {
+                problems.add(start, format!("{} nodes", p.volumes[v].spread), set.len().to_string());
+            }
+            at[v] = set;
+        }
+    }
+    let top = At { line: 1, column: 1 };
+    for (v, _) in at.iter().enumerate().filter(|a| a.1.is_empty()) {
+        problems.add(top, format!("a line for volume {}", p.volumes[v].name), "none");
+    }
+    if problems.is_empty() { Ok(at) } else { Err(problems.sorted().to_string()) }
+}
+
+/// What two placements of one problem are worth, side by side.
+pub fn compare(file: &Path, one: &Path, other: &Path) -> Ended {
+    let read = || -> Result<String, String> {
+        let p = read(file)?;
+        let mut out =
+            format!("{:<24}{:>16}{:>10}{:>14}{:>8}", "placement", "gain", "cost", "data moved", "fits");
+        let mut sets = Vec::new();
+        for file in [one, other] {
+            let at = placement(&p, file)?;
+            let w = worth(&p, &at);
+            let placed: Vec<(usize, &[usize])> = at.iter().map(Vec::as_slice).enumerate().collect();
+            write!(
+                out,
+                "\n{:<24}{:>16.3}{:>10}{:>14.1}{:>8}",
+                file.display().to_string(),
+                w.gain as f64 / GAIN,
+                w.cost.0,
+                w.moved.0 as f64 / SCALE as f64,
+                if fits(&p, &placed, &|_| true, 1000) { "yes" } else { "no" }
+            )
+            .expect("memory");
+            sets.push(at);
+        }
+        for (v, volume) in p.volumes.iter().enumerate().filter(|(v, _)| sets[0][*v] != sets[1][*v]) {
+            let names =
+                |set: &[usize]| set.iter().map(|n| p.nodes[*n].name.as_str()).collect::<Vec<_>>().join(" ");
+            write!(out, "\n{}: {} | {}", volume.name, names(&sets[0][v]), names(&sets[1][v]))
+                .expect("memory");
+        }
+        Ok(out)
+    };
+    match read() {
+        Ok(text) => Ended::Done(text),
+        Err(why) => Ended::Wrong(why),
+    }
+}
+
+/// How full each node is with a placement, now and in the worst loss.
+pub fn explain(file: &Path, placed: &Path) -> Ended {
+    let told = || -> Result<String, String> {
+        let p = read(file)?;
+        let at = placement(&p, placed)?;
+        let mut out = format!("{:<16}{:>12}{:>12}{:>8}  volumes", "node", "capacity", "reserved", "part");
+        for (n, node) in p.nodes.iter().enumerate() {
+            let here: Vec<usize> = (0..at.len()).filter(|v| at[*v].contains(&n)).collect();
+            let reserved: f64 =
+                here.iter().map(|v| p.volumes[*v].reserve as f64 / at[*v].len() as f64).sum::<f64>() / 1000.0;
+            let capacity = node.capacity as f64 / 1000.0;
+            let part = if capacity > 0.0 { 100.0 * reserved / capacity } else { 0.0 };
+            let names: Vec<&str> = here.iter().map(|v| p.volumes[*v].name.as_str()).collect();
+            write!(
+                out,
+                "\n{:<16}{capacity:>10.1}/s{reserved:>10.1}/s{part:>7.1}%  {}",
+                node.name,
+                names.join(" ")
+            )
+            .expect("memory");
+        }
+        let placed: Vec<(usize, &[usize])> = at.iter().map(Vec::as_slice).enumerate().collect();
+        let verdict =
+            if fits(&p, &placed, &|_| true, 1000) { "all reserves fit" } else { "reserves do not fit" };
+        write!(out, "\n{verdict}").expect("memory");
+        Ok(out)
+    };
+    match told() {
+        Ok(text) => Ended::Done(text),
+        Err(why) => Ended::Wrong(why),
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,8 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
-use mallowseam_lab::{bench, script};
+use mallowseam_lab::{bench, brute, script};
+use mallowseam_shares::model::Problem;
+use mallowseam_shares::search::{Answer, solve};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +33,13 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Compare worked-out shares with a plain enumeration on fresh small problems
+    SharesCheck {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 2000)]
+        count: u64,
+    },
     /// Compare clients at a node directly and through a host
     Bench(bench::Options),
     /// Run a host of this build (what rehearsals start)
@@ -52,6 +61,7 @@
     match Line::parse().what {
         What::Demo { seed } => play("demo", seed, 1, false),
         What::Rehearse { script, seed, seeds, quiet } => play(&script, seed, seeds, quiet),
+        What::SharesCheck { seed, count } => shares_check(seed, count),
         What::Bench(options) => finish(bench::run(&options, &program()).map(|table| {
             print!("{table}");
             true
@@ -62,6 +72,25 @@
     }
 }
 
+fn shares_check(seed: u64, count: u64) -> ExitCode {
+    let mut agree = 0;
+    for seed in seed..seed + count {
+        let (nodes, volumes) = brute::draw(seed);
+        let wanted = brute::brute(&nodes, &volumes);
+        let found = match Problem::new(nodes, volumes).map(|p| solve(&p, u64::MAX)) {
+            Ok(Answer::Best(worth)) => Some(worth.order.0),
+            _ => None,
+        };
+        if found == wanted {
+            agree += 1;
+        } else {
+            println!("seed {seed}: {found:?}, by enumeration {wanted:?}");
+        }
+    }
+    println!("agree: {agree} of {count}");
+    if agree == count { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn program() -> Program {
     let path = std::env::current_exe().unwrap_or_else(|_| PathBuf::from("mallowseam-lab"));
     Program { path, args: vec!["host".into()] }
--- /dev/null
+++ b/crates/lab/tests/shares_cli.rs
@@ -0,0 +1,67 @@
+//! `mallowseam shares` as an operator uses it.
+use std::process::Command;
+
+const PROBLEM: &str = "node a\n  capacity 10/s\n  zone east\nnode b\n  capacity 10.5/s\n  zone east\nnode c\n  \
+capacity 8/s\n  zone west\n  cost 2\nvolume water\n  reserve 6/s\n  surge 12/s\n  spread 2\n  survives node\n  \
+apart\nvolume gas\n  reserve 4.25/s\n  surge 9/s\n  price 1800\nvolume tax\n  reserve 1/s\n  surge 20/s\n  \
+today a\n";
+
+/// Runs `shares WHAT` on these files' texts; exit code and what was printed.
+fn shares(what: &str, texts: &[&str]) -> (i32, String) {
+    let dir = tempfile::tempdir().expect("a directory");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mallowseam-lab"));
+    command.args(["host", "shares", what]);
+    for (i, text) in texts.iter().enumerate() {
+        let file = dir.path().join(format!("f{i}"));
+        std::fs::write(&file, text).expect("a file");
+        command.arg(file);
+    }
+    let out = command.output().expect("a run");
+    let text = [out.stdout, out.stderr].concat();
+    (out.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[test]
+fn a_problem_is_worked_out_explained_and_compared() {
+    let (code, best) = shares("work-out", &[PROBLEM]);
+    assert!(code == 0 && best.contains("proven best"), "{best}");
+    assert!(best.lines().any(|l| l.starts_with("place water ") && l.ends_with(" c")), "apart: {best}");
+    let (code, told) = shares("explain", &[PROBLEM, &best]);
+    assert!(code == 0 && told.contains("all reserves fit"), "{told}");
+    let worse = "place water a c\nplace gas a\nplace tax a\n";
+    let (code, told) = shares("compare", &[PROBLEM, &best, worse]);
+    assert!(code == 0 && told.contains("water:") || told.contains("gas:"), "{told}");
+}
+
+#[test]
+fn what_cannot_be_met_has_its_own_code_and_names_the_contradiction() {
+    let tight = PROBLEM
+        .replace("reserve 4.25/s", "reserve 9.001/s")
+        .replace("reserve 1/s", "reserve 9/s")
+        .replace("surge 9/s", "surge 10/s");
+    let (code, told) = shares("work-out", &[&tight]);
+    assert_eq!(code, 3, "{told}");
+    for wanted in
+        ["volume gas reserves 9.001/s", "volume water survives the loss of a node", "least relaxation"]
+    {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+}
+
+#[test]
+fn mistakes_in_a_file_are_named_all_at_once() {
+    let bad = "node a\n  capacity 10\n  zones x\nnode a\n  capacity 1.2345/s\nvolume v\n  survives all\n  spread 9\n";
+    let (code, told) = shares("work-out", &[bad]);
+    assert_eq!(code, 2);
+    for wanted in [
+        ":2:12: expected units a second",
+        ":3:3: expected a directive of section `node`, found `zones`",
+        ":5:12: expected units a second",
+        ":7:12: expected node or zone, found `all`",
+        ":8:10: expected 1 to 8 nodes, found `9`",
+    ] {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+    let (code, told) = shares("work-out", &["node a\n  capacity 1/s\nnode a\n  capacity 2/s\n"]);
+    assert!(code == 2 && told.contains("expected one node of this name"), "{told}");
+}
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -177,6 +177,19 @@
         })
     }
 
+    /// Thousandths of units a second, exactly: `20/s`, `0.125/s`.
+    pub fn exact_rate(&mut self, expected: &str) -> Option<u64> {
+        self.value(expected, |w| {
+            let (whole, part) = w.strip_suffix("/s")?.split_once('.').unwrap_or((w.strip_suffix("/s")?, ""));
+            let digits = |t: &str| t.chars().all(|c| c.is_ascii_digit());
+            if whole.is_empty() || part.len() > 3 || !digits(whole) || !digits(part) {
+                return None;
+            }
+            let part: u64 = format!("{part:0<3}").parse().ok()?;
+            whole.parse::<u64>().ok()?.checked_mul(1000)?.checked_add(part)
+        })
+    }
+
     pub fn percent(&mut self, expected: &str) -> Option<f64> {
         self.value(expected, |w| {
             let n: f64 = w.strip_suffix('%')?.parse().ok()?;
