--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -19,7 +19,7 @@
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::collections::BTreeMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read};
 
 const LISTENER: Token = Token(0);
 const CONTROL: Token = Token(1);
@@ -382,13 +382,8 @@
         for at in self.hosts.indices() {
             let Some(host) = self.hosts.get_mut(at) else { continue };
             let mut over = (host.out.len() > WAITING_MOST).then(|| "takes nothing".to_owned());
-            while !host.out.is_empty() && over.is_none() {
-                match host.socket.write(&host.out) {
-                    Ok(n) => drop(host.out.drain(..n)),
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    Err(e) => over = Some(e.to_string()),
-                }
+            if over.is_none() {
+                over = wire::push(&mut host.socket, &mut host.out).err();
             }
             if let Some(why) = over {
                 self.drop_host(at, &why);
--- /dev/null
+++ b/crates/gateway/src/desk/mapped.rs
@@ -0,0 +1,279 @@
+//! Mapped volumes: where a block I/O goes is looked up, and waited for; extents are copied before their first
+//! write.
+use super::*;
+
+impl Desk {
+    /// The unit of a LUN.
+    pub(super) fn unit(&mut self, lun: u32) -> Option<Seen> {
+        if let Some(vol) = self.volumes.iter().position(|v| v.lun == lun) {
+            let branch = self.volumes[vol].branch.clone();
+            return Some(Seen { vol, lun, branch, writable: true });
+        }
+        self.learn_units();
+        self.units.get(&lun).cloned()
+    }
+
+    /// Snapshots and clones of mapped volumes, when the tree has changed.
+    pub(super) fn learn_units(&mut self) {
+        let Some(tree) = self.map.as_ref().and_then(|m| m.cache.tree()) else { return };
+        if tree.version == self.units_of {
+            return;
+        }
+        self.units_of = tree.version;
+        self.units.clear();
+        for (name, snapshot) in &tree.snapshots {
+            if let Some(vol) = self.volume_of(tree, &snapshot.branch) {
+                let branch = Some(name.as_str().into());
+                self.units.insert(snapshot.unit, Seen { vol, lun: snapshot.unit, branch, writable: false });
+            }
+        }
+        for (name, branch) in tree.branches.iter().filter(|b| b.1.origin.is_some()) {
+            if let Some(vol) = self.volume_of(tree, name) {
+                let seen = Seen { vol, lun: branch.unit, branch: Some(name.as_str().into()), writable: true };
+                self.units.insert(branch.unit, seen);
+            }
+        }
+    }
+
+    /// The configured volume that a branch comes from, by way of clones of clones.
+    pub(super) fn volume_of(&self, tree: &Tree, branch: &str) -> Option<usize> {
+        let mut name = branch;
+        for _ in 0..=tree.branches.len() {
+            if let Some(vol) = self.volumes.iter().position(|v| v.branch.as_deref() == Some(name)) {
+                return Some(vol);
+            }
+            name = tree.branches.get(name)?.origin.as_deref()?.split('@').next()?;
+        }
+        None
+    }
+
+    pub(super) fn is_write(&self, io: &Io) -> bool {
+        self.commands.get(io.command).is_some_and(|c| c.write)
+    }
+
+    pub(super) fn writes_copy(&self, at: u32) -> bool {
+        let copies = self.ios.get(at).and_then(|io| io.copies);
+        copies.and_then(|c| self.copying.get(&c)).is_some_and(|c| c.state == Copying::Writing)
+    }
+
+    /// Puts a block I/O among those that wait, by the order in which they came.
+    pub(super) fn wait(&mut self, at: u32) {
+        let seq = self.ios.get(at).expect("in hand").seq;
+        let ios = &self.ios;
+        let place = self.waiting.partition_point(|w| ios.get(*w).is_some_and(|io| io.seq < seq));
+        self.waiting.insert(place, at);
+        self.looked.1 = 0;
+    }
+
+    /// Looks up where a block I/O goes. What comes behind one that waits for the same extent waits as well.
+    pub(super) fn look_up(&mut self, scheduler: &mut Scheduler, at: u32) {
+        let io = self.ios.get(at).expect("in hand");
+        let same = |w: &u32| {
+            self.ios
+                .get(*w)
+                .is_some_and(|o| o.lun == io.lun && o.part.shard == io.part.shard && o.seq < io.seq)
+        };
+        if self.waiting.iter().any(same) {
+            return self.wait(at);
+        }
+        if !self.go(scheduler, at) {
+            self.wait(at);
+        }
+    }
+
+    /// Sends a block I/O on its way if that is known. False: not yet.
+    pub(super) fn go(&mut self, scheduler: &mut Scheduler, at: u32) -> bool {
+        let io = self.ios.get(at).expect("in hand");
+        let (write, extent, vol) = (self.is_write(io), io.part.shard, io.vol);
+        let Some(map) = &mut self.map else { return false };
+        let now = millis(self.now);
+        match map.cache.look(io.branch.as_deref().unwrap_or_default(), extent, write, now) {
+            Look::At(layer, place) => {
+                self.ios.get_mut(at).expect("in hand").place = Some((layer, place));
+                self.take(scheduler, at);
+                true
+            }
+            Look::Zeros => {
+                let bytes = io.part.blocks as usize * self.volumes[vol].block_size as usize;
+                let io = self.ios.get_mut(at).expect("in hand");
+                io.answered = true;
+                self.figures.groups[io.part.group as usize].answers.taken += 1;
+                self.done(at, vec![0; bytes]);
+                self.forget(at);
+                true
+            }
+            Look::Copy { into, from } => {
+                map.want_numbers(into, now);
+                self.copy((into, extent), vol, from);
+                false
+            }
+            Look::Later | Look::Unsure => false,
+            Look::NoSuchBranch => {
+                self.give_up(BioId(at), End::Failed);
+                self.forget(at);
+                true
+            }
+        }
+    }
+
+    /// Looks again at all that wait, when there is news or time has passed. True if anything has moved.
+    pub(super) fn look_again(&mut self, scheduler: &mut Scheduler) -> bool {
+        let news = self.map.as_ref().map_or(0, |m| m.news);
+        if self.map.is_none() || self.looked.0 == news && self.now < self.looked.1 {
+            return false;
+        }
+        self.looked = (news, self.now + up(COPY_AGAIN * 1000));
+        self.tend_copies();
+        let mut behind: Vec<(u32, u32)> = Vec::new();
+        let mut moved = false;
+        for at in std::mem::take(&mut self.waiting) {
+            let Some(io) = self.ios.get(at) else { continue };
+            let here = (io.lun, io.part.shard);
+            if io.answered {
+                self.forget(at);
+                moved = true;
+            } else if self.now >= io.taken + self.groups[io.part.group as usize].goal {
+                // Past its goal: the answer at once. It has not been sent, so trying again is harmless.
+                self.give_up(BioId(at), End::Shed(0));
+                self.forget(at);
+                moved = true;
+            } else if behind.contains(&here) || !self.go(scheduler, at) {
+                behind.push(here);
+                let seq = self.ios.get(at).map_or(0, |io| io.seq);
+                let ios = &self.ios;
+                let place = self.waiting.partition_point(|w| ios.get(*w).is_some_and(|io| io.seq < seq));
+                self.waiting.insert(place, at);
+            } else {
+                moved = true;
+            }
+        }
+        moved || !self.fresh.is_empty()
+    }
+
+    /// When those that wait are to be looked at next.
+    pub fn next_look(&self) -> Option<Tick> {
+        (!self.waiting.is_empty()).then_some(self.looked.1)
+    }
+
+    /// A node has turned a write away, as its layer is closed: it and those behind it are looked up anew.
+    pub(super) fn turned_away(&mut self, at: u32) {
+        let layer = self.ios.get(at).and_then(|io| io.place).map(|p| p.0);
+        self.ios.get_mut(at).expect("in hand").returns = true;
+        self.tell(at, Ending::Moot);
+        for other in self.ios.indices() {
+            let Some(io) = self.ios.get(other) else { continue };
+            let here = io.place.map(|p| p.0) == layer && io.handed && io.out.is_none() && !io.returns;
+            if here && !io.answered && io.copies.is_none() && self.is_write(io) {
+                self.ios.get_mut(other).expect("just seen").returns = true;
+                self.gone.push_back(BioId(other));
+            }
+        }
+    }
+
+    /// Begins to copy an extent to a new place, unless that is under way.
+    pub(super) fn copy(&mut self, to: (LayerId, u32), vol: usize, from: Option<(LayerId, Place)>) {
+        let now = millis(self.now);
+        let Some(map) = &mut self.map else { return };
+        if let Some(copy) = self.copying.get(&to) {
+            match copy.state {
+                Copying::Resting(until) if now >= until => {}
+                _ => return,
+            }
+        } else if self.copying.len() >= COPIES {
+            return;
+        }
+        let mut numbers = Vec::new();
+        while numbers.len() < self.submits as usize {
+            let Some(number) = map.cache.number(to.0) else { break };
+            numbers.push(number);
+        }
+        if numbers.len() < self.submits as usize {
+            // What was drawn is lost, which costs nothing; more are on their way.
+            self.copying.remove(&to);
+            return;
+        }
+        let state = if from.is_some() { Copying::Reading } else { Copying::Writing };
+        // What was never written reads as zeros anyway: one block makes the node known to be there.
+        let data = if from.is_some() { Vec::new() } else { vec![0; self.volumes[vol].block_size as usize] };
+        self.copying.insert(to, Copy { vol, from, data: data.into(), numbers, state });
+        self.copy_step(to);
+    }
+
+    /// The next block I/O of a copy.
+    pub(super) fn copy_step(&mut self, to: (LayerId, u32)) {
+        let copy = &self.copying[&to];
+        let reading = copy.state == Copying::Reading;
+        let blocks = if reading || copy.from.is_some() { self.extent as u32 } else { 1 };
+        let part =
+            Part { from: 0, blocks, shard: to.1, node_lba: 0, group: self.copy_group as u16, key: None };
+        self.seq += 1;
+        let io = Io {
+            command: NONE,
+            next: NONE,
+            vol: copy.vol,
+            lun: NONE,
+            branch: None,
+            seq: self.seq,
+            place: if reading { copy.from } else { None },
+            copies: Some(to),
+            returns: false,
+            part,
+            taken: self.now,
+            handed: false,
+            submits: 0,
+            out: None,
+            answered: false,
+        };
+        let at = self.ios.put(io);
+        self.fresh.push_back(at);
+    }
+
+    /// A step of a copy has ended.
+    pub(super) fn copied(&mut self, at: u32, data: Vec<u8>) {
+        let io = self.ios.get(at).expect("in hand");
+        let (Some(to), place) = (io.copies, io.place) else { return };
+        let Some(copy) = self.copying.get_mut(&to) else { return };
+        match (copy.state, place) {
+            (Copying::Reading, _) => {
+                copy.data = data.into();
+                copy.state = Copying::Writing;
+                self.copy_step(to);
+            }
+            (Copying::Writing, Some((_, place))) => {
+                copy.state = Copying::Told(place, millis(self.now));
+                self.tell_place(to, place);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn tell_place(&mut self, to: (LayerId, u32), place: Place) {
+        if let Some(map) = &mut self.map {
+            map.say(&ToCatalog::Placed { layer: to.0, extent: to.1, place });
+        }
+    }
+
+    /// Copies that are settled are over; places not heard of are told again.
+    pub(super) fn tend_copies(&mut self) {
+        let now = millis(self.now);
+        let Some(tree) = self.map.as_ref().and_then(|m| m.cache.tree()) else { return };
+        let settled = |(layer, extent): &(LayerId, u32)| {
+            tree.layers.get(layer).is_none_or(|l| l.frozen || l.places.contains_key(extent))
+        };
+        let mut again = Vec::new();
+        self.copying.retain(|to, copy| match &mut copy.state {
+            Copying::Told(place, at) => {
+                if !settled(to) && now >= *at + TELL_AGAIN {
+                    *at = now;
+                    again.push((*to, *place));
+                }
+                !settled(to)
+            }
+            Copying::Resting(_) => !settled(to) && now < u64::MAX,
+            Copying::Reading | Copying::Writing => true,
+        });
+        for (to, place) in again {
+            self.tell_place(to, place);
+        }
+    }
+}
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -8,7 +8,6 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::collections::VecDeque;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -159,13 +158,8 @@
 
     fn flush(&mut self) {
         let Some(socket) = &mut self.socket else { return };
-        while !self.asked.is_empty() {
-            match socket.write(&self.asked) {
-                Ok(n) => drop(self.asked.drain(..n)),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(e) => return self.fail(&e.to_string()),
-            }
+        if let Err(why) = wire::push(socket, &mut self.asked) {
+            self.fail(&why);
         }
     }
 
--- a/crates/gateway/src/map.rs
+++ b/crates/gateway/src/map.rs
@@ -7,7 +7,6 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::net::SocketAddr;
 
 /// Longest line from the catalog: a whole tree of some hundred thousand extents.
@@ -92,13 +91,8 @@
 
     pub fn flush(&mut self) {
         let Some(socket) = &mut self.socket else { return };
-        while !self.out.is_empty() {
-            match socket.write(&self.out) {
-                Ok(n) => drop(self.out.drain(..n)),
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(e) => return self.lose(&e.to_string()),
-            }
+        if let Err(why) = wire::push(socket, &mut self.out) {
+            self.lose(&why);
         }
     }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -24,6 +24,20 @@
     }
 }
 
+/// Writes bytes off the front of a buffer until it is empty or the socket takes no more. Error: the socket is over.
+pub fn push(socket: &mut impl Write, bytes: &mut Vec<u8>) -> Result<(), String> {
+    while !bytes.is_empty() {
+        match socket.write(bytes) {
+            Ok(0) => return Err("takes no bytes".into()),
+            Ok(n) => drop(bytes.drain(..n)),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+    Ok(())
+}
+
 /// Writes what waits; how many bytes went, or why the socket is over.
 pub fn write(socket: &mut impl Write, out: &mut Outgoing) -> Result<usize, String> {
     let mut all = 0;
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -62,17 +62,7 @@
     let n = std::process::id();
     let address = |last| SocketAddr::from(([127, 16 + (n >> 8) as u8 % 200, n as u8, last], 3260));
     let (node_at, host_at) = (address(1), address(101));
-    let model = Model {
-        cores: 64,
-        unit_work: 0.0,
-        unit_bytes: 4096,
-        queue: 4096,
-        cold_from: 1.0,
-        cold_span: 0,
-        fall_multiple: 2.0,
-        fall_span: 0,
-        cold_bears: 0.0,
-    };
+    let model = Model::quick(64, 0.0, 4096);
     let node = Node::start(0, node_at, NODE, model, Trace::off(), options.seed).map_err(|e| e.to_string())?;
     let file = dir.path().join("gw0.conf");
     std::fs::write(&file, site(node_at, host_at, options)).map_err(|e| e.to_string())?;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -41,6 +41,21 @@
 }
 
 impl Model {
+    /// One that is always warm, with units of 4 KiB that take so much work.
+    pub fn quick(cores: usize, unit_work: f64, queue: usize) -> Model {
+        Model {
+            cores,
+            unit_work,
+            unit_bytes: 4096,
+            queue,
+            cold_from: 1.0,
+            cold_span: 0,
+            fall_multiple: 2.0,
+            fall_span: 0,
+            cold_bears: 0.0,
+        }
+    }
+
     /// Part of its speed that a node has so long after its start.
     pub fn warmth(&self, age: Micros) -> f64 {
         let grown = age as f64 / self.cold_span.max(1) as f64;
--- a/crates/lab/tests/allocations.rs
+++ b/crates/lab/tests/allocations.rs
@@ -11,17 +11,7 @@
 fn allocations(run: u8, write: bool, ios: u64) -> u64 {
     let pid = std::process::id();
     let address = |n| SocketAddr::from(([127, 252, pid as u8, run * 4 + n], 3260));
-    let model = Model {
-        cores: 8,
-        unit_work: 0.0,
-        unit_bytes: 4096,
-        queue: 64,
-        cold_from: 1.0,
-        cold_span: 0,
-        fall_multiple: 2.0,
-        fall_span: 0,
-        cold_bears: 0.0,
-    };
+    let model = Model::quick(8, 0.0, 64);
     let _node = Node::start(0, address(1), "iqn.t:node0", model, Trace::off(), 1).expect("a node");
     let dir = tempfile::tempdir().expect("a directory");
     let control = dir.path().join("sock");
--- a/crates/lab/tests/host.rs
+++ b/crates/lab/tests/host.rs
@@ -40,17 +40,7 @@
         let (pid, run) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address =
             |n| SocketAddr::from(([127, 220 + (pid >> 8) as u8 % 30, pid as u8, run * 4 + n], 3260));
-        let model = Model {
-            cores: 8,
-            unit_work: work,
-            unit_bytes: 4096,
-            queue: 64,
-            cold_from: 1.0,
-            cold_span: 0,
-            fall_multiple: 2.0,
-            fall_span: 0,
-            cold_bears: 0.0,
-        };
+        let model = Model::quick(8, work, 64);
         let node = |n: u8| {
             let target = format!("iqn.t:node{n}");
             Node::start(n.into(), address(1 + n), &target, model.clone(), Trace::off(), 1).expect("a node")
--- a/crates/lab/tests/snapshots.rs
+++ b/crates/lab/tests/snapshots.rs
@@ -31,17 +31,7 @@
         let (pid, run) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address =
             |n| SocketAddr::from(([127, 180 + (pid >> 8) as u8 % 30, pid as u8, run * 10 + n], 3260));
-        let model = Model {
-            cores: 4,
-            unit_work: 50.0,
-            unit_bytes: 4096,
-            queue: 64,
-            cold_from: 1.0,
-            cold_span: 0,
-            fall_multiple: 2.0,
-            fall_span: 0,
-            cold_bears: 0.0,
-        };
+        let model = Model::quick(4, 50.0, 64);
         let node = |n: u8| {
             let target = format!("iqn.t:node{n}");
             Node::start(n.into(), address(n), &target, model.clone(), Trace::off(), 1).expect("a node")
