--- a/crates/cow/src/leases.rs
+++ b/crates/cow/src/leases.rs
@@ -52,6 +52,16 @@
         now >= self.unknown_until && self.hosts.values().all(|h| h.seen >= version || now >= h.until)
     }
 
+    /// Whether every host that may act is known.
+    pub fn knows_all(&self, now: Millis) -> bool {
+        now >= self.unknown_until
+    }
+
+    /// Hosts that may act now.
+    pub fn holding(&self, now: Millis) -> std::collections::BTreeSet<String> {
+        self.hosts.iter().filter(|h| now < h.1.until).map(|h| h.0.clone()).collect()
+    }
+
     /// Hosts that hold a version up now, with when they cease to.
     pub fn late(&self, version: u64, now: Millis) -> Vec<(&str, Millis)> {
         let late = |h: &&(&String, &Host)| h.1.seen < version && now < h.1.until;
--- a/crates/cow/src/lib.rs
+++ b/crates/cow/src/lib.rs
@@ -5,6 +5,7 @@
 //!   every host apply the same changes and so hold the same tree.
 //! - `cut`: when a snapshot may be granted.
 //! - `leases`: when a change counts everywhere.
+//! - `pieces`: a write of several parts, whole in a snapshot or not in it.
 //! - `free`: when space is given back.
 //! - `words`: what hosts and catalog say to each other.
 //! - `cache`: what a host does with a block I/O, by what it knows of the tree.
@@ -12,6 +13,7 @@
 pub mod cut;
 pub mod free;
 pub mod leases;
+pub mod pieces;
 pub mod tree;
 pub mod words;
 
--- a/crates/cow/src/words.rs
+++ b/crates/cow/src/words.rs
@@ -22,6 +22,14 @@
         layer: LayerId,
         count: u32,
     },
+    /// No write of several parts is under way any more that may have a part in this layer.
+    Clear {
+        layer: LayerId,
+    },
+    /// A write has parts in this layer; the rest of it wants to go to the present head.
+    Leave {
+        layer: LayerId,
+    },
     /// An extent has been copied to a place.
     Placed {
         layer: LayerId,
@@ -49,6 +57,20 @@
         first: u32,
         count: u32,
     },
+    /// Say `Clear` of this layer as soon as it is so.
+    AskClear {
+        layer: LayerId,
+        branch: String,
+    },
+    /// No cut of this branch is pending any more.
+    Over {
+        branch: String,
+    },
+    /// Whether a write with parts in this layer may be completed.
+    Leave {
+        layer: LayerId,
+        given: bool,
+    },
     /// A place did not count: another came first, or the layer is frozen. News of it are on their way.
     NotPlaced {
         layer: LayerId,
--- a/crates/cow/tests/trees.rs
+++ b/crates/cow/tests/trees.rs
@@ -71,7 +71,8 @@
             (0..5, _) => self.write(&branch, b as u32 % EXTENTS),
             (5 | 6, _) => {
                 let name = format!("s{}", self.tree.version);
-                let (change, cut) = Cut::begin(&self.tree, &branch, &name, 0).expect("a cut");
+                let (change, cut) =
+                    Cut::begin(&self.tree, &branch, &name, Default::default(), 0).expect("a cut");
                 self.apply(change);
                 self.close_all();
                 let Turn::Grant(change) = cut.turn(&self.tree, 0) else { panic!("closed everywhere") };
@@ -159,7 +160,7 @@
     for extent in 0..3 {
         world.write("a", extent);
     }
-    let (change, cut) = Cut::begin(&world.tree, "a", "s", 100).expect("a cut");
+    let (change, cut) = Cut::begin(&world.tree, "a", "s", Default::default(), 100).expect("a cut");
     world.apply(change);
     assert_eq!(to_close(&world.tree), [(1024, 0), (1024, 1), (1024, 2)]);
     for node in 0..3 {
@@ -173,7 +174,7 @@
 fn a_node_that_does_not_close_fails_the_snapshot_by_name_and_leaves_none() {
     let mut world = world();
     world.write("a", 0);
-    let (change, cut) = Cut::begin(&world.tree, "a", "s", 100).expect("a cut");
+    let (change, cut) = Cut::begin(&world.tree, "a", "s", Default::default(), 100).expect("a cut");
     world.apply(change);
     assert_eq!(cut.turn(&world.tree, 100 + WITHIN - 1), Turn::Wait);
     let failed = Turn::Fail(Failed::Unclosed([1].into()));
@@ -192,9 +193,9 @@
 fn two_snapshots_at_the_same_moment_both_wait_for_the_same_nodes() {
     let mut world = world();
     world.write("a", 0);
-    let (change, first) = Cut::begin(&world.tree, "a", "s", 0).expect("a cut");
+    let (change, first) = Cut::begin(&world.tree, "a", "s", Default::default(), 0).expect("a cut");
     world.apply(change);
-    let (change, second) = Cut::begin(&world.tree, "a", "t", 0).expect("a cut");
+    let (change, second) = Cut::begin(&world.tree, "a", "t", Default::default(), 0).expect("a cut");
     world.apply(change);
     assert_eq!((first.turn(&world.tree, 0), second.turn(&world.tree, 0)), (Turn::Wait, Turn::Wait));
     world.close_all();
@@ -208,14 +209,14 @@
 #[test]
 fn of_two_snapshots_of_one_name_the_second_fails_whichever_way_they_cross() {
     let mut world = world();
-    let (change, first) = Cut::begin(&world.tree, "a", "s", 0).expect("a cut");
+    let (change, first) = Cut::begin(&world.tree, "a", "s", Default::default(), 0).expect("a cut");
     world.apply(change);
-    let (change, second) = Cut::begin(&world.tree, "a", "s", 0).expect("not granted yet");
+    let (change, second) = Cut::begin(&world.tree, "a", "s", Default::default(), 0).expect("not granted yet");
     world.apply(change);
     let Turn::Grant(change) = first.turn(&world.tree, 0) else { panic!("nothing to close") };
     world.apply(change);
     assert!(matches!(second.turn(&world.tree, 0), Turn::Fail(Failed::Refused(_))));
-    assert!(Cut::begin(&world.tree, "a", "s", 0).is_err());
+    assert!(Cut::begin(&world.tree, "a", "s", Default::default(), 0).is_err());
 }
 
 #[test]
@@ -259,3 +260,42 @@
     }
     world.check();
 }
+
+#[test]
+fn a_host_with_half_a_write_holds_a_grant_up_until_it_is_clear_or_may_not_act() {
+    let mut world = world();
+    let hosts = || ["g".to_owned(), "h".to_owned()].into();
+    let (change, mut cut) = Cut::begin(&world.tree, "a", "s", hosts(), 0).expect("a cut");
+    world.apply(change);
+    assert_eq!(cut.turn(&world.tree, 0), Turn::Wait);
+    cut.clear(1024, "g");
+    cut.clear(1023, "h");
+    assert_eq!(cut.turn(&world.tree, 0), Turn::Wait);
+    assert_eq!(cut.turn(&world.tree, WITHIN), Turn::Fail(Failed::Unclear(["h".to_owned()].into())));
+    assert!(cut.unclear(&["g".to_owned()].into()).is_empty(), "h may not act any more");
+    assert!(matches!(cut.turn(&world.tree, 0), Turn::Grant(_)));
+}
+
+#[test]
+fn half_a_write_is_completed_behind_a_pending_cut_and_never_behind_a_granted_one() {
+    use mallowseam_cow::cut::leave;
+    let mut world = world();
+    let (change, mut cut) = Cut::begin(&world.tree, "a", "s", ["g".to_owned()].into(), 0).expect("a cut");
+    world.apply(change);
+    assert_eq!(leave(&world.tree, 1024), Some((true, [1024].into())));
+    cut.behind();
+    assert_eq!(cut.turn(&world.tree, 0), Turn::Wait, "the write is not through");
+    assert!(matches!(cut.turn(&world.tree, WITHIN), Turn::Fail(Failed::Unclear(_))));
+    cut.clear(1024, "g");
+    assert_eq!(cut.turn(&world.tree, 0), Turn::Anew);
+    let anew = cut.anew(&world.tree, ["g".to_owned()].into()).expect("a branch");
+    world.apply(anew);
+    assert_eq!(cut.layer, 1025);
+    assert_eq!(leave(&world.tree, 1024), Some((true, [1024, 1025].into())));
+    cut.clear(1025, "g");
+    let Turn::Grant(change) = cut.turn(&world.tree, 0) else { panic!("clear and closed") };
+    world.apply(change);
+    assert_eq!(leave(&world.tree, 1024), Some((false, [1024, 1025].into())));
+    assert_eq!(leave(&world.tree, 1026), Some((true, [].into())));
+    assert_eq!(leave(&world.tree, 9_999), None);
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -7,7 +7,7 @@
 use crate::wire::{self, Tried};
 use mallowseam_catalog::Catalog;
 use mallowseam_cow::cache::{layer_of, settle};
-use mallowseam_cow::cut::{Cut, Failed, Turn, to_close};
+use mallowseam_cow::cut::{Cut, Failed, Turn, leave, to_close};
 use mallowseam_cow::free::Free;
 use mallowseam_cow::leases::Leases;
 use mallowseam_cow::tree::{Change, LayerId, Tree};
@@ -35,6 +35,8 @@
 const LOOK: Tick = 100;
 /// Ticks between two looks for what can be given back, while nothing changes.
 const SIFT: Tick = 2_000;
+/// Ticks after which hosts that have not said that they are clear are asked again.
+const ASK_AGAIN: Tick = 2_000;
 
 struct Host {
     socket: TcpStream,
@@ -60,8 +62,10 @@
 
 /// An operator who waits for the end of what was asked.
 enum Waits {
+    /// Until all hosts that may act are known: branch and name.
+    Begin(String, String),
     Snapshot(Cut),
-    /// A rollback: until its old head is closed and the new one counts.
+    /// Until a layer is closed (0: none) and a version counts.
     Counts(u64, LayerId, String),
 }
 
@@ -91,6 +95,7 @@
     looked: Tick,
     /// The version whose waste is known, and when it was looked at last.
     sifted: (u64, Tick),
+    asked_clear: Tick,
     scratch: Vec<u8>,
 }
 
@@ -163,6 +168,7 @@
             stops: false,
             looked: now,
             sifted: (u64::MAX, now),
+            asked_clear: now,
             scratch: vec![0; SCRATCH],
             clock,
             site,
@@ -295,6 +301,14 @@
                     self.after(at, word);
                 }
             }
+            ToCatalog::Clear { layer } => {
+                for (_, wait) in &mut self.waits {
+                    if let Waits::Snapshot(cut) = wait {
+                        cut.clear(layer, &host.name);
+                    }
+                }
+            }
+            ToCatalog::Leave { layer } => self.leave(at, layer),
             ToCatalog::Placed { layer, extent, place } => {
                 let change = Change::Placed { layer, extent, place };
                 match settle(&self.next, &change) {
@@ -318,6 +332,65 @@
         }
     }
 
+    /// A host asks to complete a write that has parts in a layer: cuts that are pending are made anew behind it.
+    fn leave(&mut self, at: u32, layer: LayerId) {
+        let Some((given, between)) = leave(&self.next, layer) else {
+            return self.after(at, ToHost::Leave { layer, given: false });
+        };
+        if given {
+            for (_, wait) in &mut self.waits {
+                if let Waits::Snapshot(cut) = wait
+                    && between.contains(&cut.layer)
+                {
+                    cut.behind();
+                }
+            }
+        }
+        self.after(at, ToHost::Leave { layer, given });
+    }
+
+    /// A cut has ended: hosts begin writes of several parts again, if no other one of the branch is pending.
+    fn cut_over(&mut self, branch: &str) {
+        let other = |w: &(u32, Waits)| matches!(&w.1, Waits::Snapshot(cut) if cut.branch == branch);
+        if self.waits.iter().any(other) {
+            return;
+        }
+        for at in self.hosts.indices() {
+            self.after(at, ToHost::Over { branch: branch.to_owned() });
+        }
+    }
+
+    /// Asks hosts that pending cuts wait for whether they are clear.
+    fn ask_clear(&mut self, now: u64) {
+        let holding = self.leases.holding(now);
+        let mut asks = Vec::new();
+        for (_, wait) in &mut self.waits {
+            if let Waits::Snapshot(cut) = wait {
+                let unclear = cut.unclear(&holding).clone();
+                asks.push((unclear, ToHost::AskClear { layer: cut.layer, branch: cut.branch.clone() }));
+            }
+        }
+        for (hosts, word) in asks {
+            for at in self.hosts.indices() {
+                if self.hosts.get(at).is_some_and(|h| hosts.contains(&h.name)) {
+                    self.after(at, word.clone());
+                }
+            }
+        }
+    }
+
+    fn begin_cut(&mut self, caller: u32, branch: &str, name: &str) -> Result<(), String> {
+        let now = millis(self.now);
+        let begun = Cut::begin(&self.next, branch, name, self.leases.holding(now), now);
+        let (change, cut) = begun.map_err(|f| self.why(&f))?;
+        self.propose(change).map_err(|r| r.to_string())?;
+        self.waits.push((caller, Waits::Snapshot(cut)));
+        // Not a moment is lost: nodes and hosts are asked in this round.
+        self.close_layers();
+        self.ask_clear(now);
+        Ok(())
+    }
+
     /// Says something once the batch is on disk: kept as a reply of this round.
     fn after(&mut self, at: u32, word: ToHost) {
         let text = serde_json::to_string(&word).expect("words are plain");
@@ -338,6 +411,10 @@
         if self.now >= self.looked + LOOK {
             self.looked = self.now;
             self.leases.tidy(now);
+            if self.asked_clear + ASK_AGAIN <= self.now {
+                self.asked_clear = self.now;
+                self.ask_clear(now);
+            }
             self.nodes.care(self.now);
             self.close_layers();
             self.give_back(now);
@@ -417,7 +494,7 @@
         self.sifted = (self.next.version, self.now);
         let pending = |w: &(u32, Waits)| match &w.1 {
             Waits::Snapshot(cut) => Some(cut.layer),
-            Waits::Counts(..) => None,
+            Waits::Counts(..) | Waits::Begin(..) => None,
         };
         let kept = self.waits.iter().filter_map(pending).collect();
         self.free.look(&self.next, &kept, &self.leases, now);
@@ -469,23 +546,41 @@
     }
 
     fn tend_waits(&mut self, now: u64) {
-        for (caller, wait) in std::mem::take(&mut self.waits) {
-            match &wait {
+        let mut over: Vec<String> = Vec::new();
+        for (caller, mut wait) in std::mem::take(&mut self.waits) {
+            match &mut wait {
+                Waits::Begin(branch, name) => {
+                    if !self.leases.knows_all(now) {
+                        self.waits.push((caller, wait));
+                    } else if let Err(why) = self.begin_cut(caller, branch, name) {
+                        self.replies.push((caller, format!("error: {why}")));
+                    }
+                }
                 Waits::Snapshot(cut) => match cut.turn(&self.next, now) {
                     Turn::Wait => self.waits.push((caller, wait)),
+                    Turn::Anew => {
+                        let change = cut.anew(&self.next, self.leases.holding(now));
+                        change.into_iter().for_each(|c| drop(self.propose(c)));
+                        self.waits.push((caller, wait));
+                        self.close_layers();
+                        self.ask_clear(now);
+                    }
                     Turn::Grant(change) => {
+                        over.push(cut.branch.clone());
                         let full = format!("{}@{}", cut.branch, cut.name);
-                        let answer = match self.propose(change) {
-                            Ok(_) => {
+                        match self.propose(change) {
+                            Ok(version) => {
                                 tracing::info!(snapshot = full, "granted");
                                 let unit = self.next.snapshots[&full].unit;
-                                format!("{full} granted, LUN {unit}")
+                                // Told once every host knows its unit.
+                                let text = format!("{full} granted, LUN {unit}");
+                                self.waits.push((caller, Waits::Counts(version, 0, text)));
                             }
-                            Err(r) => format!("error: {r}"),
-                        };
-                        self.replies.push((caller, answer));
+                            Err(r) => self.replies.push((caller, format!("error: {r}"))),
+                        }
                     }
                     Turn::Fail(why) => {
+                        over.push(cut.branch.clone());
                         let text = self.why(&why);
                         tracing::warn!(snapshot = format!("{}@{}", cut.branch, cut.name), text, "failed");
                         self.replies.push((caller, format!("error: {text}")));
@@ -505,11 +600,16 @@
                 }
             }
         }
+        over.iter().for_each(|branch| self.cut_over(branch));
     }
 
     fn why(&self, failed: &Failed) -> String {
         match failed {
             Failed::Refused(text) => text.clone(),
+            Failed::Unclear(hosts) => {
+                let names: Vec<&str> = hosts.iter().map(String::as_str).collect();
+                format!("writes under way at {}; no snapshot was made", names.join(", "))
+            }
             Failed::Unclosed(nodes) => {
                 let names: Vec<&str> =
                     nodes.iter().map(|n| self.nodes.all[*n as usize].name.as_str()).collect();
@@ -524,18 +624,20 @@
         let refused = |r: mallowseam_cow::tree::Refused| r.to_string();
         match words.as_slice() {
             ["snapshot", branch, name] => {
-                let begun = Cut::begin(&self.next, branch, name, millis(self.now));
-                let (change, cut) = begun.map_err(|f| self.why(&f))?;
-                self.propose(change).map_err(refused)?;
-                self.waits.push((caller, Waits::Snapshot(cut)));
-                // Not a moment is lost: nodes are asked in this round.
-                self.close_layers();
+                if self.leases.knows_all(millis(self.now)) {
+                    self.begin_cut(caller, branch, name)?;
+                } else {
+                    self.waits.push((caller, Waits::Begin((*branch).to_owned(), (*name).to_owned())));
+                }
                 Ok(None)
             }
             ["clone", snapshot, branch] => {
                 let (snapshot, branch) = ((*snapshot).to_owned(), (*branch).to_owned());
-                self.propose(Change::Cloned { snapshot, branch: branch.clone() }).map_err(refused)?;
-                Ok(Some(format!("{branch} made, LUN {}", self.next.branches[&branch].unit)))
+                let change = Change::Cloned { snapshot, branch: branch.clone() };
+                let version = self.propose(change).map_err(refused)?;
+                let text = format!("{branch} made, LUN {}", self.next.branches[&branch].unit);
+                self.waits.push((caller, Waits::Counts(version, 0, text)));
+                Ok(None)
             }
             ["rollback", branch, snapshot] => {
                 let old = self.next.branch(branch).map_err(refused)?.head;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -12,6 +12,7 @@
 use crate::terms::layout;
 use mallowseam_conduct::parts::{End, Extent, Layout, Part, Whole};
 use mallowseam_cow::cache::{COPIES, COPY_AGAIN, Look, TELL_AGAIN};
+use mallowseam_cow::pieces::{Go, Pieces};
 use mallowseam_cow::tree::{LayerId, Place, Tree};
 use mallowseam_cow::words::ToCatalog;
 use mallowseam_iscsi::initiator::Payload;
@@ -92,6 +93,8 @@
     first: u32,
     alive: u32,
     write: bool,
+    parts: u32,
+    pieces: Pieces,
     /// The client's group number, handed on to the nodes.
     mark: u8,
     block_size: usize,
@@ -348,8 +351,11 @@
             return self.copied(at, data);
         }
         let (from, bytes) = (io.part.from as usize, io.part.blocks as usize);
-        let command_at = io.command;
+        let (command_at, place) = (io.command, io.place);
         let Some(command) = self.commands.get_mut(command_at) else { return };
+        if let Some((layer, _)) = place {
+            command.pieces.landed(layer);
+        }
         if !command.write && !command.read.is_empty() {
             let (from, bytes) = (from * command.block_size, bytes * command.block_size);
             command.read[from..from + bytes].copy_from_slice(&data);
@@ -498,6 +504,8 @@
             first: NONE,
             alive: parts.len() as u32,
             write,
+            parts: parts.len() as u32,
+            pieces: Pieces::default(),
             mark,
             block_size,
             data: data.into(),
--- a/crates/gateway/src/desk/mapped.rs
+++ b/crates/gateway/src/desk/mapped.rs
@@ -89,6 +89,10 @@
         let now = millis(self.now);
         match map.cache.look(io.branch.as_deref().unwrap_or_default(), extent, write, now) {
             Look::At(layer, place) => {
+                if write && !self.may_follow(at, layer, now) {
+                    // Given up, it is over; else it waits.
+                    return self.ios.get(at).is_none();
+                }
                 self.ios.get_mut(at).expect("in hand").place = Some((layer, place));
                 self.take(scheduler, at);
                 true
@@ -116,6 +120,73 @@
         }
     }
 
+    /// Whether a part of a write may go into a layer, as far as cuts are concerned. Given up, it is gone.
+    fn may_follow(&mut self, at: u32, layer: LayerId, now: u64) -> bool {
+        let Some(io) = self.ios.get(at) else { return false };
+        let command_at = io.command;
+        let Some(command) = self.commands.get(command_at).filter(|c| c.parts > 1) else { return true };
+        let held = self.map.as_ref().is_some_and(|m| m.holds(io.branch.as_deref().unwrap_or_default(), now));
+        let (mut elsewhere, mut begun) = (false, command.pieces.begun_by(LayerId::MAX));
+        let mut next = command.first;
+        while let Some(other) = self.ios.get(next).filter(|o| o.command == command_at) {
+            // One that is only held may be sent any moment.
+            let under_way = other.handed && !other.answered;
+            begun |= under_way;
+            elsewhere |= under_way && other.place.is_some_and(|p| p.0 != layer);
+            next = other.next;
+        }
+        if held && !begun {
+            return false;
+        }
+        let command = self.commands.get_mut(command_at).expect("just seen");
+        match command.pieces.go(layer, elsewhere, now) {
+            Go::Now => true,
+            Go::Wait => false,
+            Go::Ask(older) => {
+                if let Some(map) = &mut self.map {
+                    map.say(&ToCatalog::Leave { layer: older });
+                }
+                false
+            }
+            Go::Never => {
+                self.give_up(BioId(at), End::Failed);
+                self.forget(at);
+                false
+            }
+        }
+    }
+
+    /// Takes the catalog's words about leave, and says of which layers this host is clear.
+    fn tend_cuts(&mut self) {
+        let Some(map) = &mut self.map else { return };
+        for (layer, given) in std::mem::take(&mut map.leaves) {
+            for at in self.commands.indices() {
+                if let Some(command) = self.commands.get_mut(at) {
+                    command.pieces.heard(layer, given);
+                }
+            }
+        }
+        if map.owed.is_empty() {
+            return;
+        }
+        let (ios, commands) = (&self.ios, &self.commands);
+        let holds = |layer: LayerId, branch: &str| {
+            let several =
+                |at: u32| commands.get(at).filter(|c| c.write && c.parts > 1 && !c.whole.answered());
+            ios.iter().any(|(_, io)| {
+                let here = io.branch.as_deref() == Some(branch);
+                let under_way = io.place.is_some_and(|p| p.0 == layer) && !io.answered;
+                here && several(io.command).is_some_and(|c| under_way || c.pieces.begun_by(layer))
+            })
+        };
+        let clear: Vec<LayerId> =
+            map.owed.iter().filter(|(layer, branch)| !holds(*layer, branch)).map(|o| o.0).collect();
+        map.owed.retain(|o| !clear.contains(&o.0));
+        for layer in clear {
+            map.say(&ToCatalog::Clear { layer });
+        }
+    }
+
     /// Looks again at all that wait, when there is news or time has passed. True if anything has moved.
     pub(super) fn look_again(&mut self, scheduler: &mut Scheduler) -> bool {
         let news = self.map.as_ref().map_or(0, |m| m.news);
@@ -124,6 +195,7 @@
         }
         self.looked = (news, self.now + up(COPY_AGAIN * 1000));
         self.tend_copies();
+        self.tend_cuts();
         let mut behind: Vec<(u32, u32)> = Vec::new();
         let mut moved = false;
         for at in std::mem::take(&mut self.waiting) {
@@ -152,7 +224,8 @@
 
     /// When those that wait are to be looked at next.
     pub fn next_look(&self) -> Option<Tick> {
-        (!self.waiting.is_empty()).then_some(self.looked.1)
+        let owed = self.map.as_ref().is_some_and(|m| !m.owed.is_empty());
+        (owed || !self.waiting.is_empty()).then_some(self.looked.1)
     }
 
     /// A node has turned a write away, as its layer is closed: it and those behind it are looked up anew.
--- a/crates/gateway/src/map.rs
+++ b/crates/gateway/src/map.rs
@@ -25,6 +25,11 @@
     pub cache: Cache,
     /// Counts up with everything that may let a waiting block I/O go on.
     pub news: u64,
+    /// Layers that the catalog wants to hear are clear, with their branch; and its words about leave.
+    pub owed: Vec<(LayerId, String)>,
+    pub leaves: Vec<(LayerId, bool)>,
+    /// Branches with a pending cut, and until when that holds writes of several parts back at most.
+    held: BTreeMap<String, Millis>,
     asked: BTreeMap<LayerId, Millis>,
 }
 
@@ -42,6 +47,9 @@
             connect_at: 0,
             cache: Cache::default(),
             news: 0,
+            owed: Vec::new(),
+            leaves: Vec::new(),
+            held: BTreeMap::new(),
             asked: BTreeMap::new(),
         }
     }
@@ -53,6 +61,11 @@
         }
     }
 
+    /// Whether a cut of a branch is pending.
+    pub fn holds(&self, branch: &str, now: Millis) -> bool {
+        self.held.get(branch).is_some_and(|until| now < *until)
+    }
+
     /// Connects, renews, and writes what waits.
     pub fn tend(&mut self, now: Millis) {
         if self.socket.is_none() && now >= self.connect_at {
@@ -160,6 +173,14 @@
                 self.cache.given(layer, first, count);
             }
             ToHost::NotPlaced { .. } => {}
+            ToHost::Over { branch } => drop(self.held.remove(&branch)),
+            ToHost::AskClear { layer, branch } => {
+                self.held.insert(branch.clone(), now + mallowseam_cow::cut::WITHIN);
+                if !self.owed.iter().any(|o| o.0 == layer) {
+                    self.owed.push((layer, branch));
+                }
+            }
+            ToHost::Leave { layer, given } => self.leaves.push((layer, given)),
         }
     }
 }
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -675,8 +675,9 @@
                     continue;
                 };
                 for other in writer.lba..writer.lba + u64::from(writer.blocks) {
-                    let apart =
-                        self.places.extent > 0 && other / self.places.extent != lba / self.places.extent;
+                    // Of a write that came to nothing each part counts for itself.
+                    let extent = self.places.extent.max(1);
+                    let apart = writer.good().is_none() && other / extent != lba / extent;
                     let shows = blocks.get(other as usize).copied().flatten().unwrap_or(0);
                     let later =
                         self.ops.iter().find(|o| o.id == shows).is_some_and(|o| o.asked >= writer.asked);
--- a/crates/lab/tests/snapshots.rs
+++ b/crates/lab/tests/snapshots.rs
@@ -407,3 +407,56 @@
     assert_eq!(firsts(&mut client, 0), [4, 0, 0]);
     assert!(rig.tell("delete one").expect_err("in use").contains("one@s"));
 }
+
+#[test]
+fn a_write_across_extents_is_whole_in_every_snapshot_or_not_in_it() {
+    let rig = Rig::new();
+    let over = std::sync::atomic::AtomicBool::new(false);
+    let mut kept: Vec<(u32, [(u64, u64); 2])> = Vec::new();
+    // Of each area the last write acknowledged, and the last one begun.
+    let stands: [[std::sync::atomic::AtomicU64; 2]; 2] = Default::default();
+    let order = Ordering::SeqCst;
+    std::thread::scope(|scope| {
+        for (area, [acked, begun]) in stands.iter().enumerate() {
+            let (at, over) = (rig.at[area], &over);
+            scope.spawn(move || {
+                let mut client = Counter::open(at, Some(TARGET), 20 + area as u32).expect("a login");
+                let mut id = 0;
+                while !over.load(order) {
+                    id += 2;
+                    let mine = id + area as u64;
+                    begun.store(mine, order);
+                    // Four extents at a time, two of them in part.
+                    if write(&mut client, 0, mine, area as u64 * 256 + 16, 96).status == status::GOOD {
+                        acked.store(mine, order);
+                    }
+                }
+            });
+        }
+        for n in 0..25 {
+            std::thread::sleep(Duration::from_millis(20));
+            let before = [0, 1].map(|a: usize| stands[a][0].load(order));
+            match rig.tell(&format!("snapshot a s{n}")) {
+                Ok(told) => {
+                    let unit = told.rsplit(' ').next().and_then(|u| u.parse().ok()).expect("a LUN");
+                    let after = [0, 1].map(|a: usize| stands[a][1].load(order));
+                    kept.push((unit, [(before[0], after[0]), (before[1], after[1])]));
+                }
+                Err(why) => assert!(why.contains("no snapshot was made"), "{why}"),
+            }
+        }
+        over.store(true, order);
+    });
+    assert!(kept.len() > 15, "{} of 25", kept.len());
+    let mut client = rig.client(0);
+    let mut differ = std::collections::BTreeSet::new();
+    for (unit, areas) in kept {
+        for (area, (before, after)) in areas.into_iter().enumerate() {
+            let shown = show(&mut client, unit, area as u64 * 256 + 16, 96);
+            assert!(shown.iter().all(|id| *id == shown[0]), "LUN {unit}: {shown:?}");
+            assert!((before..=after).contains(&shown[0]), "LUN {unit}: {} in {before}..={after}", shown[0]);
+            differ.insert(shown[0]);
+        }
+    }
+    assert!(differ.len() > 20, "{} different writes were caught", differ.len());
+}
