--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -152,12 +152,12 @@
     }
 }
 
-/// Asks a running host; its answer as it came. Errors: no host there, no answer within ten seconds, a
+/// Asks a running host; its answer as it came. Errors: no host there, no answer within fifteen seconds, a
 /// refusal in the host's words.
 pub fn ask(path: &Path, what: &str) -> io::Result<String> {
     let mut socket = std::os::unix::net::UnixStream::connect(path)?;
-    // A snapshot is granted or fails within five seconds.
-    socket.set_read_timeout(Some(Duration::from_secs(10)))?;
+    // A snapshot is granted or fails within eleven seconds at the most.
+    socket.set_read_timeout(Some(Duration::from_secs(15)))?;
     socket.write_all(format!("{what}\n").as_bytes())?;
     let mut answer = String::new();
     socket.read_to_string(&mut answer)?;
