Read once more: figures nobody read, a counter never told, a list built twice

Reading the whole change again found work and state without use: rehearsals asked every host for its status and dropped the answer, connects to nodes were counted and never shown, two conditions could not decide anything, and the audit built the writes of each block twice by the same lines. They are gone, or one piece serves both. No behaviour, bound or check changes; the tests keep their assertions.

--- a/crates/gateway/src/desk/mapped.rs
+++ b/crates/gateway/src/desk/mapped.rs
@@ -342,7 +342,7 @@
                 }
                 !settled(to)
             }
-            Copying::Resting(_) => !settled(to) && now < u64::MAX,
+            Copying::Resting(_) => !settled(to),
             Copying::Reading | Copying::Writing => true,
         });
         for (to, place) in again {
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -48,7 +48,6 @@
     queue: VecDeque<Order>,
     dirty: bool,
     readable: bool,
-    connects: u32,
 }
 
 pub struct Nodes {
@@ -79,7 +78,6 @@
             queue: VecDeque::new(),
             dirty: false,
             readable: false,
-            connects: 0,
         };
         Nodes {
             all: nodes.iter().map(node).collect(),
@@ -130,7 +128,6 @@
 
     fn open(&mut self, at: usize) -> std::result::Result<(), String> {
         let node = &mut self.all[at];
-        node.connects += 1;
         let mut socket = TcpStream::connect(node.address).map_err(|e| e.to_string())?;
         let _ = socket.set_nodelay(true);
         let interest = Interest::READABLE | Interest::WRITABLE;
--- a/crates/iscsi/src/params.rs
+++ b/crates/iscsi/src/params.rs
@@ -160,7 +160,6 @@
                 text::put(out, key, &self.level.to_string());
             }
             "IFMarker" | "OFMarker" => text::put(out, key, "No"),
-            _ if key.starts_with("X-") || key.starts_with("X#") => text::put(out, key, "NotUnderstood"),
             _ => text::put(out, key, "NotUnderstood"),
         }
         Ok(())
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -569,14 +569,20 @@
         }
     }
 
-    /// Each byte read was one last written there.
-    fn bytes(&mut self) {
+    /// The writes to each block of a volume, in the order in which they were asked for.
+    fn written(&self) -> HashMap<(usize, u64), Vec<usize>> {
         let mut written: HashMap<(usize, u64), Vec<usize>> = HashMap::new();
         for (i, op) in self.ops.iter().enumerate().filter(|o| o.1.write) {
             for lba in op.lba..op.lba + u64::from(op.blocks) {
                 written.entry((op.volume, lba)).or_default().push(i);
             }
         }
+        written
+    }
+
+    /// Each byte read was one last written there.
+    fn bytes(&mut self) {
+        let written = self.written();
         let mut lines = Vec::new();
         let mut checked = 0;
         for read in self.ops.iter().filter(|o| !o.write) {
@@ -635,12 +641,7 @@
     /// A snapshot shows every write that had ended before it was asked for, none that began after it was
     /// granted, and of each other write all of a part or none.
     fn snapshots(&mut self, seen: &[Seen]) {
-        let mut written: HashMap<(usize, u64), Vec<usize>> = HashMap::new();
-        for (i, op) in self.ops.iter().enumerate().filter(|o| o.1.write) {
-            for lba in op.lba..op.lba + u64::from(op.blocks) {
-                written.entry((op.volume, lba)).or_default().push(i);
-            }
-        }
+        let written = self.written();
         let mut lines = Vec::new();
         let mut count = 0;
         for s in seen {
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -38,7 +38,6 @@
     pub site: Site,
     /// Processes that did not end as they should.
     pub unclean: Vec<String>,
-    pub digest: Digest,
     pub clones: Clones,
 }
 
@@ -69,12 +68,6 @@
     why: Option<String>,
 }
 
-/// Figures over all hosts, from their own status at the end.
-#[derive(Default)]
-pub struct Digest {
-    pub status: Vec<(String, mallowseam_gateway::Status)>,
-}
-
 /// How hosts are started: a program, and what stands before `run FILE`.
 #[derive(Clone)]
 pub struct Program {
@@ -599,19 +592,11 @@
         }
     }
 
-    /// Lets what is in hand end, asks the hosts for their figures, ends them, and judges.
+    /// Lets what is in hand end, ends the hosts, and judges.
     fn close(mut self) -> Outcome {
         self.load.say(LoadWord::Quiet);
         let longest = self.site.groups.iter().map(|g| g.hard_limit).max().unwrap_or(0);
         std::thread::sleep(Duration::from_micros(longest + 2 * load::WAY));
-        let mut digest = Digest::default();
-        for (n, host) in self.hosts.iter().enumerate() {
-            if let Ok(text) = mallowseam_gateway::ask(&host.control, "status")
-                && let Ok(status) = parse(&text)
-            {
-                digest.status.push((format!("gw{n}"), status));
-            }
-        }
         let (places, clones) =
             if self.scene.catalog.is_some() { self.read_back() } else { Default::default() };
         for n in 0..self.scene.hosts {
@@ -638,7 +623,7 @@
         // a node that fell says so itself.
         model.unit_work *= 0.85;
         let verdict = audit::judge(&site, &model, &seen, &places);
-        Outcome { verdict, seen, site, unclean, digest, clones }
+        Outcome { verdict, seen, site, unclean, clones }
     }
 }
 
@@ -669,7 +654,3 @@
     }
     Ok(out)
 }
-
-fn parse(text: &str) -> Result<mallowseam_gateway::Status, String> {
-    mallowseam_gateway::Status::read(text)
-}
