--- a/crates/cow/src/cache.rs
+++ b/crates/cow/src/cache.rs
@@ -1,6 +1,6 @@
 //! What a host does with a block I/O, by what it knows of the tree.
 use crate::Millis;
-use crate::tree::{Change, LayerId, Place, Refused, Tree};
+use crate::tree::{Change, LayerId, Lies, Place, Refused, Tree};
 use std::collections::{BTreeMap, HashMap};
 
 /// A host asks for a longer lease when half of it is left: one renewal may be lost.
@@ -14,6 +14,8 @@
 pub const COPIES: usize = 8;
 /// After a copy that came to nothing, the next of that extent waits.
 pub const COPY_AGAIN: Millis = 20;
+/// Look-ups remembered, over all heads and snapshots: some 100 MiB at most. Past that all are looked up anew.
+const FOUND_MOST: usize = 1 << 21;
 /// A place that was told and not heard of is told again: the catalog may have started anew.
 pub const TELL_AGAIN: Millis = 500;
 
@@ -39,24 +41,65 @@
 #[derive(Default)]
 pub struct Cache {
     tree: Option<Tree>,
+    /// The catalog that the tree is of, and the one that is being read.
+    of: u64,
+    coming: Option<(u64, Tree)>,
     /// May act until then.
     until: Millis,
     asked: Option<Millis>,
     numbers: BTreeMap<LayerId, Vec<(u32, u32)>>,
-    /// What heads of branches have been found to show, so that a read behind a thousand snapshots costs what
-    /// one behind none does. As many entries as extents were looked up.
+    /// What heads of branches and snapshots have been found to show, so that a read behind a thousand snapshots
+    /// costs what one behind none does.
+    remembered: usize,
     found: BTreeMap<LayerId, HashMap<u32, Option<(LayerId, Place)>>>,
 }
 
 impl Cache {
-    /// The whole tree came, as after each connect to the catalog.
+    /// What the catalog has to be told when a connection opens.
+    pub fn have(&self) -> Option<(u64, u64)> {
+        self.tree.as_ref().map(|t| (self.of, t.version))
+    }
+
+    /// A whole tree begins to come, without places.
+    pub fn coming(&mut self, catalog: u64, bare: Tree) {
+        self.coming = Some((catalog, bare));
+    }
+
+    /// Places of the tree that is coming. False: they do not belong to it.
+    pub fn part(&mut self, layer: LayerId, lies: &[Lies]) -> bool {
+        self.coming.as_mut().is_some_and(|(_, tree)| tree.fill(layer, lies))
+    }
+
+    /// The tree that was coming is whole: it counts from now on.
+    pub fn filled(&mut self) -> bool {
+        let Some((catalog, tree)) = self.coming.take() else { return false };
+        if catalog != self.of {
+            // Numbers were given by another catalog, which knows nothing of this one's.
+            self.numbers.clear();
+        }
+        self.of = catalog;
+        self.whole(tree);
+        true
+    }
+
+    /// What is known does not fit what the catalog says: the whole tree is needed, whatever its version.
+    pub fn doubt(&mut self) {
+        (self.of, self.coming) = (0, None);
+    }
+
+    /// The whole tree came.
     pub fn whole(&mut self, tree: Tree) {
         // Numbers given out before belong to this host still; those of layers that are gone do not matter.
         self.numbers.retain(|layer, _| tree.layers.get(layer).is_some_and(|l| !l.frozen));
-        self.found.clear();
+        self.forget();
         self.tree = Some(tree);
     }
 
+    fn forget(&mut self) {
+        self.found.clear();
+        self.remembered = 0;
+    }
+
     /// One change came. False: it does not follow what is known, so the whole tree has to be asked for.
     pub fn changed(&mut self, version: u64, change: &Change) -> bool {
         let Some(tree) = &mut self.tree else { return false };
@@ -128,19 +171,22 @@
 
     /// The catalog is out of reach: what is known holds until the lease runs out.
     pub fn lost(&mut self) {
-        self.asked = None;
+        (self.asked, self.coming) = (None, None);
     }
 
     /// Where an extent of a branch, or of a snapshot, is read or written.
     pub fn look(&mut self, name: &str, extent: u32, write: bool, now: Millis) -> Look {
         let Some(tree) = self.tree.as_ref().filter(|_| now < self.until) else { return Look::Unsure };
         let Some(head) = layer_of(tree, name) else { return Look::NoSuchBranch };
-        let found = if tree.branches.contains_key(name) {
-            let shown = self.found.entry(head).or_default();
-            *shown.entry(extent).or_insert_with(|| tree.find(head, extent))
-        } else {
+        if self.remembered >= FOUND_MOST {
+            self.found.clear();
+            self.remembered = 0;
+        }
+        let shown = self.found.entry(head).or_default();
+        let found = *shown.entry(extent).or_insert_with(|| {
+            self.remembered += 1;
             tree.find(head, extent)
-        };
+        });
         match found {
             None if !write => Look::Zeros,
             None => Look::Copy { into: head, from: None },
--- a/crates/cow/src/cut.rs
+++ b/crates/cow/src/cut.rs
@@ -130,15 +130,3 @@
     let granted = tree.snapshots.values().any(|s| between.contains(&s.layer));
     Some((!granted, between))
 }
-
-/// Layers and nodes that have to be closed: of every frozen layer, whoever reads by it. Until they are, no
-/// extent can be copied from there.
-pub fn to_close(tree: &Tree) -> Vec<(LayerId, u32)> {
-    let open = |(id, l): (&LayerId, &crate::tree::Layer)| {
-        let id = *id;
-        let nodes: BTreeSet<u32> =
-            l.places.values().map(|p| p.node).filter(|n| !l.closed.contains(n)).collect();
-        nodes.into_iter().map(move |n| (id, n))
-    };
-    tree.layers.iter().filter(|l| l.1.frozen).flat_map(open).collect()
-}
--- a/crates/cow/src/lib.rs
+++ b/crates/cow/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cache;
 pub mod cut;
 pub mod free;
+mod index;
 pub mod leases;
 pub mod pieces;
 pub mod tree;
--- a/crates/cow/src/words.rs
+++ b/crates/cow/src/words.rs
@@ -1,14 +1,17 @@
 //! What hosts and catalog say to each other: one JSON object a line.
 use crate::Millis;
-use crate::tree::{Change, LayerId, Place, Tree};
+use crate::tree::{Change, LayerId, Lies, Place, Tree};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ToCatalog {
-    /// Opens a connection. A host that says so has started anew on it: the whole tree follows.
+    /// Opens a connection, with the tree that the host holds, if any: of which catalog, up to which change.
+    /// What it lacks follows, or the whole tree.
     Hello {
         host: String,
+        #[serde(default)]
+        have: Option<(u64, u64)>,
     },
     /// Asks to go on; `sent` by the host's own clock.
     Renew {
@@ -41,9 +44,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ToHost {
+    /// The tree of a catalog, without its places: those follow in parts, then `Filled`. Until then what the
+    /// host held before counts.
     Whole {
+        catalog: u64,
         tree: Box<Tree>,
     },
+    Part {
+        layer: LayerId,
+        lies: Vec<Lies>,
+    },
+    Filled,
+    /// What the host lacks follows change by change.
+    Going,
     Changed {
         version: u64,
         change: Change,
@@ -77,3 +90,17 @@
         extent: u32,
     },
 }
+
+/// Places in one `Part`: some tens of kilobytes, read between two block I/Os without either being noticed.
+const PART: usize = 1_000;
+
+/// The words by which a host is told a whole tree.
+pub fn whole(catalog: u64, tree: &Tree) -> impl Iterator<Item = ToHost> + '_ {
+    let parts = tree.layers.iter().flat_map(|(layer, l)| {
+        let lies: Vec<Lies> = l.places.iter().map(|(e, p)| (*e, *p, l.opened.contains(e))).collect();
+        let part = |lies: &[Lies]| ToHost::Part { layer: *layer, lies: lies.to_vec() };
+        lies.chunks(PART).map(part).collect::<Vec<_>>()
+    });
+    let first = ToHost::Whole { catalog, tree: Box::new(tree.bare()) };
+    std::iter::once(first).chain(parts).chain([ToHost::Filled])
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -7,11 +7,11 @@
 use crate::wire::{self, Tried};
 use mallowseam_catalog::Catalog;
 use mallowseam_cow::cache::{layer_of, settle};
-use mallowseam_cow::cut::{Cut, Failed, Turn, leave, to_close};
+use mallowseam_cow::cut::{Cut, Failed, Turn, leave};
 use mallowseam_cow::free::Free;
 use mallowseam_cow::leases::Leases;
 use mallowseam_cow::tree::{Change, LayerId, Tree};
-use mallowseam_cow::words::{ToCatalog, ToHost};
+use mallowseam_cow::words::{ToCatalog, ToHost, whole};
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::scsi;
 use mallowseam_scheduler::host::{Ending, Tick};
@@ -33,14 +33,14 @@
 /// Ticks a node has to close a layer or give a place back, and between two looks at what is due.
 const ORDER_WITHIN: Tick = 20_000;
 const LOOK: Tick = 100;
-/// Ticks between two looks for what can be given back, while nothing changes.
-const SIFT: Tick = 2_000;
 /// Ticks after which hosts that have not said that they are clear are asked again.
 const ASK_AGAIN: Tick = 2_000;
 
 struct Host {
     socket: TcpStream,
     name: String,
+    /// It has said hello and hears of every change from now on.
+    told: bool,
     partial: Vec<u8>,
     out: Vec<u8>,
 }
@@ -74,9 +74,6 @@
     clock: Clock,
     now: Tick,
     catalog: Catalog,
-    /// The tree with changes that are not on disk yet.
-    next: Tree,
-    batch: Vec<Change>,
     leases: Leases,
     free: Free,
     hosts: Slots<Host>,
@@ -91,10 +88,10 @@
     opening: Vec<(u64, LayerId, u32)>,
     waits: Vec<(u32, Waits)>,
     replies: Vec<(u32, String)>,
+    /// Hosts that have said hello, with what they hold.
+    hello: Vec<(u32, Option<(u64, u64)>)>,
     stops: bool,
     looked: Tick,
-    /// The version whose waste is known, and when it was looked at last.
-    sifted: (u64, Tick),
     asked_clear: Tick,
     scratch: Vec<u8>,
 }
@@ -149,11 +146,9 @@
         let mut service = Service {
             hosts_from: NODES + site.nodes.len(),
             now,
-            next: catalog.tree().clone(),
+            free: Free::of(catalog.tree()),
             catalog,
-            batch: Vec::new(),
             leases: Leases::new(millis(now), fresh),
-            free: Free::default(),
             hosts: Slots::default(),
             nodes,
             listener,
@@ -165,22 +160,23 @@
             opening: Vec::new(),
             waits: Vec::new(),
             replies: Vec::new(),
+            hello: Vec::new(),
             stops: false,
             looked: now,
-            sifted: (u64::MAX, now),
             asked_clear: now,
             scratch: vec![0; SCRATCH],
             clock,
             site,
         };
         // Places that were told and not opened before the last end.
-        for (layer, l) in &service.next.layers {
+        let tree = service.catalog.tree();
+        for (layer, l) in &tree.layers {
             for extent in l.places.keys().filter(|e| !l.opened.contains(e)) {
-                service.opening.push((service.next.version, *layer, *extent));
+                service.opening.push((tree.version, *layer, *extent));
             }
         }
         for volume in service.site.volumes.clone().iter().filter(|v| v.mapped) {
-            if !service.next.branches.contains_key(&volume.name) {
+            if !service.next().branches.contains_key(&volume.name) {
                 let extents = (volume.blocks / settings.extent) as u32;
                 let made = Change::Made { branch: volume.name.clone(), extents };
                 service.propose(made).map_err(|r| Failure::new(r.to_string()))?;
@@ -191,9 +187,14 @@
 
     /// Makes a change that counts once the batch is on disk.
     fn propose(&mut self, change: Change) -> Result<u64, mallowseam_cow::tree::Refused> {
-        self.next.apply(&change)?;
-        self.batch.push(change);
-        Ok(self.next.version)
+        let touched = self.catalog.propose(change)?;
+        self.free.noticed(self.catalog.tree(), &touched);
+        Ok(self.catalog.tree().version)
+    }
+
+    /// The tree with changes that are not on disk yet.
+    fn next(&self) -> &Tree {
+        self.catalog.tree()
     }
 
     fn ready(&mut self, token: Token, readable: bool) {
@@ -236,7 +237,8 @@
             let interest = Interest::READABLE | Interest::WRITABLE;
             if self.registry.register(&mut socket, token, interest).is_ok() {
                 tracing::info!(%peer, "host connected");
-                let host = Host { socket, name: String::new(), partial: Vec::new(), out: Vec::new() };
+                let (name, partial, out) = Default::default();
+                let host = Host { socket, name, told: false, partial, out };
                 self.hosts.put(host);
             }
         }
@@ -283,10 +285,9 @@
         let now = millis(self.now);
         let Some(host) = self.hosts.get_mut(at) else { return };
         match word {
-            ToCatalog::Hello { host: name } => {
+            ToCatalog::Hello { host: name, have } => {
                 host.name = name;
-                // What is on disk: later changes follow one by one.
-                host.say(&ToHost::Whole { tree: Box::new(self.catalog.tree().clone()) });
+                self.hello.push((at, have));
             }
             ToCatalog::Renew { sent, seen } => {
                 let span = self.leases.renew(&host.name, seen, now);
@@ -294,7 +295,7 @@
             }
             ToCatalog::Seen { version } => self.leases.seen(&host.name, version),
             ToCatalog::Numbers { layer, count } => {
-                let first = self.next.layers.get(&layer).map_or(0, |l| l.next_number);
+                let first = self.next().layers.get(&layer).map_or(0, |l| l.next_number);
                 if self.propose(Change::Numbers { layer, first, count }).is_ok() {
                     // Told behind the change, once that is on disk.
                     let word = ToHost::Numbers { layer, first, count };
@@ -311,7 +312,7 @@
             ToCatalog::Leave { layer } => self.leave(at, layer),
             ToCatalog::Placed { layer, extent, place } => {
                 let change = Change::Placed { layer, extent, place };
-                match settle(&self.next, &change) {
+                match settle(self.next(), &change) {
                     Ok(None) => {
                         if let Ok(version) = self.propose(change) {
                             self.opening.push((version, layer, extent));
@@ -334,7 +335,7 @@
 
     /// A host asks to complete a write that has parts in a layer: cuts that are pending are made anew behind it.
     fn leave(&mut self, at: u32, layer: LayerId) {
-        let Some((given, between)) = leave(&self.next, layer) else {
+        let Some((given, between)) = leave(self.next(), layer) else {
             return self.after(at, ToHost::Leave { layer, given: false });
         };
         if given {
@@ -381,7 +382,7 @@
 
     fn begin_cut(&mut self, caller: u32, branch: &str, name: &str) -> Result<(), String> {
         let now = millis(self.now);
-        let begun = Cut::begin(&self.next, branch, name, self.leases.holding(now), now);
+        let begun = Cut::begin(self.next(), branch, name, self.leases.holding(now), now);
         let (change, cut) = begun.map_err(|f| self.why(&f))?;
         self.propose(change).map_err(|r| r.to_string())?;
         self.waits.push((caller, Waits::Snapshot(cut)));
@@ -428,23 +429,38 @@
 
     /// Puts the batch on disk, then tells the hosts.
     fn keep(&mut self) -> Result<(), Failure> {
-        if self.batch.is_empty() {
-            return Ok(());
-        }
-        let batch = std::mem::take(&mut self.batch);
-        let first = self.catalog.tree().version + 1;
         // A store that fails is no store: hosts go on by their leases, and a new process reads what is there.
-        self.catalog.commit(&batch).map_err(|e| Failure::new(e.to_string()))?;
+        let (first, batch) = self.catalog.keep().map_err(|e| Failure::new(e.to_string()))?;
         for (version, change) in (first..).zip(batch) {
             for at in self.hosts.indices() {
-                if let Some(host) = self.hosts.get_mut(at).filter(|h| !h.name.is_empty()) {
+                if let Some(host) = self.hosts.get_mut(at).filter(|h| h.told) {
                     host.say(&ToHost::Changed { version, change: change.clone() });
                 }
             }
         }
+        self.greet();
         Ok(())
     }
 
+    /// Tells hosts that have said hello what they lack of what is on disk; later changes follow one by one.
+    fn greet(&mut self) {
+        for (at, have) in std::mem::take(&mut self.hello) {
+            let Some(host) = self.hosts.get_mut(at) else { continue };
+            host.told = true;
+            let id = self.catalog.id();
+            let since = have.filter(|h| h.0 == id).and_then(|h| self.catalog.since(h.1));
+            match since {
+                Some(missed) => {
+                    for (version, change) in missed {
+                        host.say(&ToHost::Changed { version, change: change.clone() });
+                    }
+                    host.say(&ToHost::Going);
+                }
+                None => whole(id, self.catalog.tree()).for_each(|word| host.say(&word)),
+            }
+        }
+    }
+
     fn answer(&mut self) {
         for (at, text) in std::mem::take(&mut self.replies) {
             if at > u32::MAX / 2 {
@@ -478,7 +494,7 @@
 
     /// Every frozen layer is closed at every node that holds a place of it, however often that takes.
     fn close_layers(&mut self) {
-        for (layer, node) in to_close(&self.next) {
+        for (layer, node) in self.next().to_close().collect::<Vec<_>>() {
             let same = |o: &(Asked, Tick)| matches!(o.0, Asked::Close(l, n) if (l, n) == (layer, node));
             if !self.orders.values().any(same) {
                 self.order(Asked::Close(layer, node), node, layer, scsi::write_protect(true));
@@ -488,26 +504,22 @@
 
     fn give_back(&mut self, now: u64) {
         let limit = self.site.groups.iter().map(|g| g.hard_limit / 1000).max().unwrap_or(0);
-        if self.sifted.0 == self.next.version && self.now < self.sifted.1 + SIFT {
-            return;
-        }
-        self.sifted = (self.next.version, self.now);
         let pending = |w: &(u32, Waits)| match &w.1 {
             Waits::Snapshot(cut) => Some(cut.layer),
             Waits::Counts(..) | Waits::Begin(..) => None,
         };
         let kept = self.waits.iter().filter_map(pending).collect();
-        self.free.look(&self.next, &kept, &self.leases, now);
+        let tree = self.catalog.tree();
         let extent_blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
-        for (layer, extent) in self.free.lot(limit, now) {
-            let Some(place) = self.next.layers.get(&layer).and_then(|l| l.places.get(&extent)).copied()
+        for (layer, extent) in self.free.lot(tree, &kept, &self.leases, limit, now) {
+            let Some(place) = self.next().layers.get(&layer).and_then(|l| l.places.get(&extent)).copied()
             else {
                 continue;
             };
             let run = (u64::from(place.number) * extent_blocks, extent_blocks as u32);
             self.order(Asked::GiveBack(layer, extent), place.node, layer, scsi::unmap(&[run]));
         }
-        for layer in self.free.empty().collect::<Vec<_>>() {
+        for layer in self.free.idle(self.catalog.tree(), &kept) {
             let _ = self.propose(Change::Freed { layer, extents: Vec::new() });
         }
     }
@@ -524,7 +536,7 @@
                 Asked::Close(_, node) => Some(*node),
                 Asked::Drop => None,
                 Asked::GiveBack(layer, extent) => {
-                    self.next.layers.get(layer).and_then(|l| l.places.get(extent)).map(|p| p.node)
+                    self.next().layers.get(layer).and_then(|l| l.places.get(extent)).map(|p| p.node)
                 }
             };
             if let Some(node) = node {
@@ -538,9 +550,10 @@
         match asked {
             Asked::Close(layer, node) if done => drop(self.propose(Change::Closed { layer, node })),
             Asked::GiveBack(layer, extent) if done => {
+                self.free.done((layer, extent));
                 let _ = self.propose(Change::Freed { layer, extents: vec![extent] });
             }
-            Asked::GiveBack(layer, extent) => self.free.failed((layer, extent)),
+            Asked::GiveBack(layer, extent) => self.free.failed((layer, extent), millis(self.now)),
             Asked::Close(..) | Asked::Drop => {}
         }
     }
@@ -556,10 +569,10 @@
                         self.replies.push((caller, format!("error: {why}")));
                     }
                 }
-                Waits::Snapshot(cut) => match cut.turn(&self.next, now) {
+                Waits::Snapshot(cut) => match cut.turn(self.next(), now) {
                     Turn::Wait => self.waits.push((caller, wait)),
                     Turn::Anew => {
-                        let change = cut.anew(&self.next, self.leases.holding(now));
+                        let change = cut.anew(self.next(), self.leases.holding(now));
                         change.into_iter().for_each(|c| drop(self.propose(c)));
                         self.waits.push((caller, wait));
                         self.close_layers();
@@ -571,7 +584,7 @@
                         match self.propose(change) {
                             Ok(version) => {
                                 tracing::info!(snapshot = full, "granted");
-                                let unit = self.next.snapshots[&full].unit;
+                                let unit = self.next().snapshots[&full].unit;
                                 // Told once every host knows its unit.
                                 let text = format!("{full} granted, LUN {unit}");
                                 self.waits.push((caller, Waits::Counts(version, 0, text)));
@@ -588,10 +601,10 @@
                 },
                 Waits::Counts(version, old, text) => {
                     let closed = self
-                        .next
+                        .next()
                         .layers
                         .get(old)
-                        .is_none_or(|_| !to_close(&self.next).iter().any(|c| c.0 == *old));
+                        .is_none_or(|_| !self.next().to_close().any(|c| c.0 == *old));
                     if closed && self.leases.counts(*version, now) {
                         self.replies.push((caller, text.clone()));
                     } else {
@@ -635,12 +648,12 @@
                 let (snapshot, branch) = ((*snapshot).to_owned(), (*branch).to_owned());
                 let change = Change::Cloned { snapshot, branch: branch.clone() };
                 let version = self.propose(change).map_err(refused)?;
-                let text = format!("{branch} made, LUN {}", self.next.branches[&branch].unit);
+                let text = format!("{branch} made, LUN {}", self.next().branches[&branch].unit);
                 self.waits.push((caller, Waits::Counts(version, 0, text)));
                 Ok(None)
             }
             ["rollback", branch, snapshot] => {
-                let old = self.next.branch(branch).map_err(refused)?.head;
+                let old = self.next().branch(branch).map_err(refused)?.head;
                 let (branch, snapshot) = ((*branch).to_owned(), (*snapshot).to_owned());
                 let text = format!("{branch} shows {snapshot}");
                 let version = self.propose(Change::RolledBack { branch, snapshot }).map_err(refused)?;
@@ -659,18 +672,18 @@
                 self.propose(change).map_err(refused)?;
                 Ok(Some(format!("{name} deleted; its space is given back in the background")))
             }
-            ["list"] => Ok(Some(list(&self.next))),
+            ["list"] => Ok(Some(list(self.next()))),
             ["diff", a, b] => {
-                let layer = |n: &str| layer_of(&self.next, n).ok_or_else(|| format!("`{n}`: no such name"));
+                let layer = |n: &str| layer_of(self.next(), n).ok_or_else(|| format!("`{n}`: no such name"));
                 let extents = |n: &str| {
-                    let branch = self.next.branches.get(n).map(|b| b.extents);
-                    branch.or_else(|| self.next.snapshots.get(n).map(|s| s.extents)).unwrap_or(0)
+                    let branch = self.next().branches.get(n).map(|b| b.extents);
+                    branch.or_else(|| self.next().snapshots.get(n).map(|s| s.extents)).unwrap_or(0)
                 };
                 let blocks = self.site.catalog.as_ref().map_or(1, |c| c.extent);
-                let found = self.next.diff(layer(a)?, layer(b)?, extents(a).max(extents(b)));
+                let found = self.next().diff(layer(a)?, layer(b)?, extents(a).max(extents(b)));
                 Ok(Some(runs(&found, blocks)))
             }
-            ["tree"] => serde_json::to_string(&self.next).map(Some).map_err(|e| e.to_string()),
+            ["tree"] => serde_json::to_string(self.next()).map(Some).map_err(|e| e.to_string()),
             ["stop"] => {
                 self.stops = true;
                 Ok(Some("stopping".into()))
--- a/crates/gateway/src/map.rs
+++ b/crates/gateway/src/map.rs
@@ -9,8 +9,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Longest line from the catalog: a whole tree of some hundred thousand extents.
-const LINE_MOST: usize = 64 << 20;
+/// Longest line from the catalog: a whole tree without its places, of some hundred thousand layers and names. A
+/// longer one ends the connection.
+const LINE_MOST: usize = 32 << 20;
+/// Reads from the catalog between two looks at clients and nodes: a tree of a million extents comes in pieces.
+const READS: usize = 4;
 
 pub struct Map {
     host: String,
@@ -79,8 +82,8 @@
                         self.partial.clear();
                         self.out.clear();
                         self.asked.clear();
-                        let host = self.host.clone();
-                        self.say(&ToCatalog::Hello { host });
+                        let (host, have) = (self.host.clone(), self.cache.have());
+                        self.say(&ToCatalog::Hello { host, have });
                     }
                 }
                 Err(e) => tracing::debug!(error = %e, "catalog"),
@@ -117,11 +120,18 @@
         self.cache.lost();
     }
 
-    pub fn ready(&mut self, readable: bool, scratch: &mut [u8], now: Millis) {
+    /// Reads what has come, and writes. True: there is more to read.
+    pub fn ready(&mut self, readable: bool, scratch: &mut [u8], now: Millis) -> bool {
         self.readable |= readable;
         self.flush();
-        while self.readable {
-            let Some(socket) = &mut self.socket else { return };
+        for _ in 0..READS {
+            if !self.readable {
+                break;
+            }
+            let Some(socket) = &mut self.socket else {
+                self.readable = false;
+                break;
+            };
             match wire::read(socket, scratch) {
                 Tried::Blocked => self.readable = false,
                 Tried::Read(n) => {
@@ -132,27 +142,40 @@
                         let line = std::mem::take(&mut self.partial);
                         match serde_json::from_slice(&line) {
                             Ok(word) => self.heard(word, now),
-                            Err(e) => return self.lose(&e.to_string()),
+                            Err(e) => self.lose(&e.to_string()),
                         }
                     }
                     self.partial.extend_from_slice(rest);
                     if self.partial.len() > LINE_MOST {
-                        return self.lose("a line past 64 MiB");
+                        self.lose("a line past 32 MiB");
                     }
                 }
-                Tried::Over(why) => return self.lose(&why),
+                Tried::Over(why) => self.lose(&why),
             }
         }
         self.flush();
+        self.readable
+    }
+
+    /// Something was missed: a new connection opens with the whole tree.
+    fn doubt(&mut self) {
+        self.cache.doubt();
+        self.lose("what the catalog says does not follow what is known");
     }
 
     fn heard(&mut self, word: ToHost, now: Millis) {
         self.news += 1;
         match word {
-            ToHost::Whole { tree } => {
-                let version = tree.version;
-                tracing::info!(version, branches = tree.branches.len(), "catalog read");
-                self.cache.whole(*tree);
+            ToHost::Whole { catalog, tree } => self.cache.coming(catalog, *tree),
+            ToHost::Part { layer, lies } => {
+                if !self.cache.part(layer, &lies) {
+                    self.doubt();
+                }
+            }
+            ToHost::Filled if !self.cache.filled() => self.doubt(),
+            ToHost::Filled | ToHost::Going => {
+                let version = self.cache.version().unwrap_or(0);
+                tracing::info!(version, "catalog read");
                 self.cache.lost();
                 if self.cache.renews(now) {
                     self.say(&ToCatalog::Renew { sent: now, seen: version });
@@ -163,8 +186,7 @@
                 if self.cache.changed(version, &change) {
                     self.say(&ToCatalog::Seen { version });
                 } else {
-                    // Something was missed: a new connection opens with the whole tree.
-                    self.lose("a change does not follow what is known");
+                    self.doubt();
                 }
             }
             ToHost::Lease { sent, span } => self.cache.granted(sent, span),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -58,6 +58,7 @@
 /// Whose turn it is to be read from.
 #[derive(Clone, Copy, PartialEq)]
 enum Turn {
+    Map,
     Client(u32),
     Node(usize),
 }
@@ -196,7 +197,10 @@
             }
             MAP => {
                 if let Some(map) = &mut self.desk.map {
-                    map.ready(readable, &mut self.scratch, millis(now));
+                    let more = map.ready(readable, &mut self.scratch, millis(now));
+                    if more && !self.turns.contains(&Turn::Map) {
+                        self.turns.push_back(Turn::Map);
+                    }
                 }
                 self.desk.settle(&mut self.scheduler);
             }
@@ -260,6 +264,14 @@
                     }
                     self.desk.settle(&mut self.scheduler);
                 }
+                Some(Turn::Map) => {
+                    if let Some(map) = &mut self.desk.map
+                        && map.ready(false, &mut self.scratch, millis(now))
+                    {
+                        self.turns.push_back(Turn::Map);
+                    }
+                    self.desk.settle(&mut self.scheduler);
+                }
                 Some(Turn::Client(at)) => {
                     let more = self.desk.clients.read(at, &mut self.scratch, now);
                     self.client_came(at, more);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,6 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
-use mallowseam_lab::{bench, brute, script};
+use mallowseam_lab::{bench, brute, script, snapbench};
 use mallowseam_shares::model::Problem;
 use mallowseam_shares::search::{Answer, solve};
 use std::ffi::OsString;
@@ -42,6 +42,8 @@
     },
     /// Compare clients at a node directly and through a host
     Bench(bench::Options),
+    /// Measure what snapshots cost: writes round cuts, first writes, reads, and the catalog's size and times
+    BenchSnapshots(snapbench::Options),
     /// Run a host of this build (what rehearsals start)
     #[command(hide = true)]
     Host {
@@ -66,6 +68,10 @@
             print!("{table}");
             true
         })),
+        What::BenchSnapshots(options) => finish(snapbench::run(&options, &program()).map(|table| {
+            print!("{table}");
+            true
+        })),
         What::Host { args } => {
             mallowseam_gateway::cli::main(std::iter::once("mallowseam".into()).chain(args))
         }
