--- a/crates/cow/src/cache.rs
+++ b/crates/cow/src/cache.rs
@@ -10,10 +10,6 @@
 /// With fewer left, more are asked for.
 const NUMBERS_LOW: usize = 16;
 
-/// Copies of one host at once: enough to keep some nodes busy, few enough to leave them to clients.
-pub const COPIES: usize = 8;
-/// After a copy that came to nothing, the next of that extent waits.
-pub const COPY_AGAIN: Millis = 20;
 /// Look-ups remembered, over all heads and snapshots: some 100 MiB at most. Past that all are looked up anew.
 const FOUND_MOST: usize = 1 << 21;
 /// A place that was told and not heard of is told again: the catalog may have started anew.
--- a/crates/cow/src/lib.rs
+++ b/crates/cow/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - `tree`: layers, branches and snapshots, changed by one numbered change after another; the catalog and
 //!   every host apply the same changes and so hold the same tree.
+//! - `copies`: when an extent may be copied, and copied again.
 //! - `cut`: when a snapshot may be granted.
 //! - `leases`: when a change counts everywhere.
 //! - `pieces`: a write of several parts, whole in a snapshot or not in it.
@@ -10,6 +11,7 @@
 //! - `words`: what hosts and catalog say to each other.
 //! - `cache`: what a host does with a block I/O, by what it knows of the tree.
 pub mod cache;
+pub mod copies;
 pub mod cut;
 pub mod free;
 mod index;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -91,15 +91,23 @@
     /// Hosts that have said hello, with what they hold.
     hello: Vec<(u32, Option<(u64, u64)>)>,
     stops: bool,
+    /// This round has put a batch on disk.
+    changed: bool,
+    steps: u64,
+    die_at: Option<u64>,
     looked: Tick,
     asked_clear: Tick,
     scratch: Vec<u8>,
 }
 
 /// Runs the catalog of a site until it is told to stop.
-pub fn run(site: Site) -> Result<(), Failure> {
+///
+/// `die_at`: aborts at that step, as a crash would. Steps lie before and after the store takes a batch, after
+/// hosts and operators have been told, and after a node has carried an order out.
+pub fn run(site: Site, die_at: Option<u64>) -> Result<(), Failure> {
     let mut poll = Poll::new().map_err(failure("poll".into()))?;
     let mut service = Service::open(site, &poll)?;
+    service.die_at = die_at;
     let mut events = Events::with_capacity(256);
     while !service.stops {
         let wait = span((service.looked + LOOK - service.clock.now()).max(0));
@@ -162,6 +170,9 @@
             replies: Vec::new(),
             hello: Vec::new(),
             stops: false,
+            changed: false,
+            steps: 0,
+            die_at: None,
             looked: now,
             asked_clear: now,
             scratch: vec![0; SCRATCH],
@@ -427,10 +438,24 @@
         Ok(())
     }
 
+    fn step(&mut self) {
+        self.steps += 1;
+        if self.die_at == Some(self.steps) {
+            std::process::abort();
+        }
+    }
+
     /// Puts the batch on disk, then tells the hosts.
     fn keep(&mut self) -> Result<(), Failure> {
         // A store that fails is no store: hosts go on by their leases, and a new process reads what is there.
+        self.changed = self.catalog.kept() < self.next().version;
+        if self.changed {
+            self.step();
+        }
         let (first, batch) = self.catalog.keep().map_err(|e| Failure::new(e.to_string()))?;
+        if self.changed {
+            self.step();
+        }
         for (version, change) in (first..).zip(batch) {
             for at in self.hosts.indices() {
                 if let Some(host) = self.hosts.get_mut(at).filter(|h| h.told) {
@@ -482,6 +507,9 @@
                 self.drop_host(at, &why);
             }
         }
+        if std::mem::take(&mut self.changed) {
+            self.step();
+        }
     }
 
     fn order(&mut self, asked: Asked, node: u32, lun: LayerId, command: ([u8; 16], Vec<u8>)) {
@@ -547,6 +575,7 @@
     }
 
     fn order_over(&mut self, asked: Asked, done: bool) {
+        self.step();
         match asked {
             Asked::Close(layer, node) if done => drop(self.propose(Change::Closed { layer, node })),
             Asked::GiveBack(layer, extent) if done => {
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -36,6 +36,9 @@
     Catalog {
         /// The configuration file
         file: PathBuf,
+        /// End without a word at this step, counted from the start: for tests of what a crash leaves
+        #[arg(long, hide = true)]
+        die_at: Option<u64>,
         #[arg(long, value_enum, default_value = "info")]
         log: Level,
         /// Log lines as JSON objects
@@ -168,9 +171,10 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::run(site).map_err(|e| (FAILED, e.to_string())))
         }
-        What::Catalog { file, log, json } => {
+        What::Catalog { file, die_at, log, json } => {
             start_log(log, json);
-            load(&file).and_then(|site| crate::catalog::run(site).map_err(|e| (FAILED, e.to_string())))
+            load(&file)
+                .and_then(|site| crate::catalog::run(site, die_at).map_err(|e| (FAILED, e.to_string())))
         }
         What::Shares { what } => {
             let ended = match what {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -152,6 +152,9 @@
     }
 }
 
+/// What every answer ends with.
+const WHOLE: &str = "\n\n";
+
 /// Asks a running host; its answer as it came. Errors: no host there, no answer within fifteen seconds, a
 /// refusal in the host's words.
 pub fn ask(path: &Path, what: &str) -> io::Result<String> {
@@ -161,6 +164,11 @@
     socket.write_all(format!("{what}\n").as_bytes())?;
     let mut answer = String::new();
     socket.read_to_string(&mut answer)?;
+    // One that ends in the middle of it has not said whether it was done.
+    if !answer.ends_with(WHOLE) {
+        let why = "ended before its answer was whole; look whether it was done";
+        return Err(io::Error::new(ErrorKind::UnexpectedEof, why));
+    }
     let answer = answer.trim_end().to_owned();
     match answer.strip_prefix("error: ") {
         Some(why) => Err(io::Error::other(why.to_owned())),
@@ -240,7 +248,7 @@
 
     pub fn answer(&mut self, at: u32, text: &str) {
         if let Some(caller) = self.callers.get_mut(at) {
-            caller.answer = format!("{text}\n").into_bytes();
+            caller.answer = format!("{text}{WHOLE}").into_bytes();
             self.flush(at);
         }
     }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -11,7 +11,8 @@
 use crate::slots::Slots;
 use crate::terms::layout;
 use mallowseam_conduct::parts::{End, Extent, Layout, Part, Whole};
-use mallowseam_cow::cache::{COPIES, COPY_AGAIN, Look, TELL_AGAIN};
+use mallowseam_cow::cache::{Look, TELL_AGAIN};
+use mallowseam_cow::copies::{self, Copies};
 use mallowseam_cow::pieces::{Go, Pieces};
 use mallowseam_cow::tree::{LayerId, Place, Tree};
 use mallowseam_cow::words::ToCatalog;
@@ -160,6 +161,7 @@
     /// Block I/Os that wait for news of the map, in the order in which they came.
     waiting: Vec<u32>,
     looked: (u64, Tick),
+    copies: Copies,
     copying: BTreeMap<(LayerId, u32), Copy>,
     fresh: VecDeque<u32>,
 }
@@ -215,6 +217,7 @@
             seq: 0,
             waiting: Vec::new(),
             looked: (0, 0),
+            copies: Copies::default(),
             copying: BTreeMap::new(),
             fresh: VecDeque::new(),
         }
@@ -590,7 +593,7 @@
             && matches!(copy.state, Copying::Reading | Copying::Writing)
             && !io.answered
         {
-            copy.state = Copying::Resting(millis(self.now) + COPY_AGAIN);
+            copy.state = Copying::Resting(millis(self.now) + copies::AGAIN);
         }
         if let Some(command) = self.commands.get_mut(io.command) {
             command.alive -= 1;
--- a/crates/gateway/src/desk/mapped.rs
+++ b/crates/gateway/src/desk/mapped.rs
@@ -193,7 +193,7 @@
         if self.map.is_none() || self.looked.0 == news && self.now < self.looked.1 {
             return false;
         }
-        self.looked = (news, self.now + up(COPY_AGAIN * 1000));
+        self.looked = (news, self.now + up(copies::AGAIN * 1000));
         self.tend_copies();
         self.tend_cuts();
         let mut behind: Vec<(u32, u32)> = Vec::new();
@@ -247,12 +247,14 @@
     pub(super) fn copy(&mut self, to: (LayerId, u32), vol: usize, from: Option<(LayerId, Place)>) {
         let now = millis(self.now);
         let Some(map) = &mut self.map else { return };
-        if let Some(copy) = self.copying.get(&to) {
-            match copy.state {
-                Copying::Resting(until) if now >= until => {}
-                _ => return,
-            }
-        } else if self.copying.len() >= COPIES {
+        let again = match self.copying.get(&to).map(|c| &c.state) {
+            None => false,
+            Some(Copying::Resting(until)) if now >= *until => true,
+            Some(_) => return,
+        };
+        let resting = |c: &&Copy| matches!(c.state, Copying::Resting(_));
+        let under_way = self.copying.len() - self.copying.values().filter(resting).count();
+        if !self.copies.may_begin(under_way, again, now) {
             return;
         }
         let mut numbers = Vec::new();
@@ -314,6 +316,7 @@
             }
             (Copying::Writing, Some((_, place))) => {
                 copy.state = Copying::Told(place, millis(self.now));
+                self.copies.ended_well();
                 self.tell_place(to, place);
             }
             _ => {}
@@ -342,7 +345,7 @@
                 }
                 !settled(to)
             }
-            Copying::Resting(_) => !settled(to),
+            Copying::Resting(until) => !settled(to) && now < *until + copies::REMEMBER,
             Copying::Reading | Copying::Writing => true,
         });
         for (to, place) in again {
--- a/crates/lab/tests/snapshots.rs
+++ b/crates/lab/tests/snapshots.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 const TARGET: &str = "iqn.t:gateway";
@@ -23,14 +23,20 @@
     at: Vec<SocketAddr>,
     nodes: Vec<Node>,
     nodes_at: Vec<SocketAddr>,
+    deaths: u32,
 }
 
 impl Rig {
     fn new() -> Rig {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
+        Rig::with(2, None)
+    }
+
+    /// So many hosts; the catalog aborts at this step.
+    fn with(hosts: usize, die_at: Option<u64>) -> Rig {
+        static NEXT: AtomicU16 = AtomicU16::new(0);
         let (pid, run) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-        let address =
-            |n| SocketAddr::from(([127, 180 + (pid >> 8) as u8 % 30, pid as u8, run * 10 + n], 3260));
+        let (last, port) = ((run % 20 * 10 + 10) as u8, 3260 + run / 20);
+        let address = |n| SocketAddr::from(([127, 180 + (pid >> 8) as u8 % 30, pid as u8, last + n], port));
         let model = Model::quick(4, 50.0, 64);
         let node = |n: u8| {
             let target = format!("iqn.t:node{n}");
@@ -55,13 +61,19 @@
             for n in 0..3 {
                 text += &format!("node node{n}\n  address {}\n  target iqn.t:node{n}\n", address(n));
             }
+            if die_at.is_some() {
+                // Space is given back after the longest hard limit.
+                text = text
+                    .replace("hard-limit 4s", "hard-limit 2100ms")
+                    .replace("hard-limit 3s", "hard-limit 2100ms");
+            }
             std::fs::write(dir.path().join(format!("conf{i}")), text).expect("a file");
         }
         let nodes = (0..3).map(node).collect();
         let nodes_at = (0..3).map(address).collect();
-        let mut rig = Rig { dir, catalog: None, hosts: Vec::new(), at, nodes, nodes_at };
-        rig.start_catalog();
-        for i in 0..2 {
+        let mut rig = Rig { dir, catalog: None, hosts: Vec::new(), at, nodes, nodes_at, deaths: 0 };
+        rig.catalog_dying(die_at);
+        for i in 0..hosts {
             rig.hosts.push(rig.start(&["run", "--log", "error"], i, &format!("gw{i}.sock"), "status"));
         }
         rig
@@ -76,7 +88,11 @@
         command.arg("host").args(what).arg(self.path(&format!("conf{conf}")));
         let child = command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().expect("a process");
         let began = Instant::now();
+        let mut child = child;
         while ask(&self.path(sock), asked).is_err() {
+            if !matches!(child.try_wait(), Ok(None)) && what.iter().any(|w| w.starts_with("--die-at")) {
+                break;
+            }
             assert!(began.elapsed() < Duration::from_secs(10), "{what:?} does not start");
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -84,7 +100,22 @@
     }
 
     fn start_catalog(&mut self) {
-        self.catalog = Some(self.start(&["catalog", "--log", "error"], 0, "catalog.sock", "list"));
+        self.catalog_dying(None);
+    }
+
+    fn catalog_dying(&mut self, at: Option<u64>) {
+        let at = at.map(|n| format!("--die-at={n}")).unwrap_or("--log=error".into());
+        self.catalog = Some(self.start(&["catalog", &at], 0, "catalog.sock", "list"));
+    }
+
+    /// Whether the catalog has died; if so it is started again.
+    fn revive(&mut self) -> bool {
+        let died = self.catalog.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)));
+        if died {
+            self.deaths += 1;
+            self.start_catalog();
+        }
+        died
     }
 
     fn kill_catalog(&mut self) {
@@ -103,6 +134,27 @@
         told.rsplit(' ').next().and_then(|n| n.parse().ok()).expect("a LUN")
     }
 
+    /// What the catalog lists, which is started again if it has died.
+    fn list(&mut self) -> String {
+        let began = Instant::now();
+        loop {
+            self.revive();
+            match self.tell("list") {
+                Ok(list) => return list,
+                Err(why) => assert!(began.elapsed() < Duration::from_secs(5), "{why}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Places of the catalog's tree; none while it does not answer.
+    fn places(&self) -> usize {
+        let Ok(text) = self.tell("tree") else { return 0 };
+        let tree: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        let layers = tree["layers"].as_object().expect("layers");
+        layers.values().map(|l| l["places"].as_object().map_or(0, |p| p.len())).sum()
+    }
+
     fn client(&self, host: usize) -> Counter {
         Counter::open(self.at[host], Some(TARGET), host as u32).expect("a login")
     }
@@ -252,11 +304,6 @@
 fn deleted_snapshots_and_clones_give_their_space_back() {
     let rig = Rig::new();
     let mut client = rig.client(0);
-    let layers = || {
-        let tree: serde_json::Value = serde_json::from_str(&rig.tell("tree").expect("told")).expect("JSON");
-        let layers = tree["layers"].as_object().expect("layers").clone();
-        layers.values().map(|l| l["places"].as_object().map_or(0, |p| p.len())).sum::<usize>()
-    };
     for round in 0..3 {
         for extent in 0..4 {
             put(&mut client, 0, 10 * round + extent + 1, extent * EXTENT, 8);
@@ -266,14 +313,14 @@
     put(&mut client, 0, 99, 0, 8);
     let clone = rig.unit("clone a@s1 c");
     put(&mut client, clone, 50, 0, 8);
-    assert_eq!(layers(), 14);
+    assert_eq!(rig.places(), 14);
     for name in ["a@s0", "a@s1", "c", "a@s2"] {
         rig.tell(&format!("delete {name}")).expect(name);
     }
     let began = Instant::now();
     // What the volume shows: four extents, of which one has been written since.
-    while layers() != 4 {
-        assert!(began.elapsed() < Duration::from_secs(20), "{} places", layers());
+    while rig.places() != 4 {
+        assert!(began.elapsed() < Duration::from_secs(20), "{} places", rig.places());
         std::thread::sleep(Duration::from_millis(50));
     }
     assert_eq!(show(&mut client, 0, 0, 8), [99; 8]);
@@ -460,3 +507,115 @@
     }
     assert!(differ.len() > 20, "{} different writes were caught", differ.len());
 }
+
+/// One volume's day with a catalog that aborts at a step: what was granted and acknowledged stands at the end,
+/// whatever the operator had to ask again. False: that step was never reached.
+fn a_day_with_a_death_at(step: u64) -> bool {
+    let mut rig = Rig::with(1, Some(step));
+    rig.revive();
+    let mut client = rig.client(0);
+    let mut stands = [0u64; 64];
+    let mut id = 0;
+    let mut write_at = |rig: &mut Rig, client: &mut Counter, lun: u32, stands: &mut [u64; 64], lba: u64| {
+        id += 1;
+        let began = Instant::now();
+        // Shed while the catalog is away: nothing was sent, and it is safe to try again.
+        while write(client, lun, id, lba, 8).status != status::GOOD {
+            assert!(began.elapsed() < Duration::from_secs(20), "step {step}: write {id} never ends");
+            rig.revive();
+        }
+        stands[lba as usize..lba as usize + 8].fill(id);
+    };
+    // What an operator does whose command came to nothing: looks whether it is there, and asks again.
+    let told = |rig: &mut Rig, line: &str, there: &str, not: bool| loop {
+        match rig.tell(line) {
+            Ok(_) => break,
+            Err(why) => {
+                let refused = why.contains("in use") || why.contains("no such");
+                let lost = why.contains("reset") || why.contains("whole") || why.contains("refused");
+                assert!(refused || lost, "step {step}: {why}");
+                if rig.list().contains(there) != not {
+                    break;
+                }
+            }
+        }
+    };
+    let lun = |rig: &mut Rig, name: &str| {
+        let list = rig.list();
+        let line = list.lines().find(|l| l.starts_with(&format!("{name} "))).expect("listed");
+        line.split("LUN ").nth(1).and_then(|l| l.split(' ').next()?.parse::<u32>().ok()).expect("a LUN")
+    };
+    for lba in [0, 28, 40] {
+        write_at(&mut rig, &mut client, 0, &mut stands, lba);
+    }
+    told(&mut rig, "snapshot a m1", "a@m1", false);
+    let first = stands;
+    for lba in [8, 32] {
+        write_at(&mut rig, &mut client, 0, &mut stands, lba);
+    }
+    told(&mut rig, "clone a@m1 c", "c  LUN", false);
+    told(&mut rig, "snapshot a m2", "a@m2", false);
+    let second = stands;
+    write_at(&mut rig, &mut client, 0, &mut stands, 0);
+    rig.revive();
+    let mut cloned = first;
+    let clone = lun(&mut rig, "c");
+    // A host may still have to hear of the clone.
+    while show_or_none(&mut client, clone).is_none() {
+        rig.revive();
+    }
+    write_at(&mut rig, &mut client, clone, &mut cloned, 28);
+    told(&mut rig, "delete a@m2", "a@m2", true);
+    rig.revive();
+    let (m1, none) = (lun(&mut rig, "a@m1"), !rig.list().contains("a@m2"));
+    assert!(none, "step {step}: deleted");
+    for (unit, wanted) in [(0, stands), (m1, first), (clone, cloned)] {
+        let mut shown = show_or_none(&mut client, unit);
+        while shown.is_none() {
+            rig.revive();
+            shown = show_or_none(&mut client, unit);
+        }
+        assert_eq!(shown.as_deref(), Some(&wanted[..]), "step {step}: LUN {unit}");
+    }
+    assert_ne!(second, first);
+    // Of the deleted snapshot, the volume still shows one extent and not the other.
+    let began = Instant::now();
+    while rig.places() != 6 {
+        assert!(began.elapsed() < Duration::from_secs(30), "step {step}: {} places", rig.places());
+        std::thread::sleep(Duration::from_millis(20));
+        rig.revive();
+    }
+    rig.kill_catalog();
+    let (code, text) = rig.run(&["verify"], &[]);
+    assert!(
+        text.contains("places 6, of which hold data 6; leaked 0; faults 0") && code == 0,
+        "{step}: {text}"
+    );
+    rig.deaths > 0
+}
+
+fn show_or_none(client: &mut Counter, lun: u32) -> Option<Vec<u64>> {
+    let answer = client.ask(lun, &scsi::rw16(false, 0, 64, 0), 64 * 512, vec![]).expect("an answer");
+    let whole = |(i, b): (usize, &[u8])| block::read(b, i as u64).expect("a whole write");
+    (answer.status == status::GOOD).then(|| answer.data.chunks(512).enumerate().map(whole).collect())
+}
+
+#[test]
+fn a_catalog_that_dies_at_any_step_of_a_day_loses_nothing_and_leaks_nothing() {
+    let next = std::sync::atomic::AtomicU64::new(1);
+    let reached = std::sync::atomic::AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..32 {
+            scope.spawn(|| {
+                loop {
+                    let step = next.fetch_add(1, Ordering::Relaxed);
+                    if !a_day_with_a_death_at(step) {
+                        return;
+                    }
+                    reached.fetch_max(step, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    assert!(reached.load(Ordering::Relaxed) > 30, "{reached:?} steps");
+}
