--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -105,6 +105,14 @@
     Explain { file: PathBuf, placement: PathBuf },
     /// What two placements are worth, side by side
     Compare { file: PathBuf, one: PathBuf, other: PathBuf },
+    /// The steps from where volumes lie today, in an order that breaks no reserve and no zone wish on the way
+    Moves {
+        file: PathBuf,
+        placement: PathBuf,
+        /// Data that may be moved at most, in the file's own unit
+        #[arg(long)]
+        data: Option<u64>,
+    },
 }
 
 #[derive(Subcommand)]
@@ -182,6 +190,7 @@
                     shares::work_out(&file, std::time::Duration::from_secs(seconds), seed)
                 }
                 Shares::Explain { file, placement } => shares::explain(&file, &placement),
+                Shares::Moves { file, placement, data } => shares::moves(&file, &placement, data),
                 Shares::Compare { file, one, other } => shares::compare(&file, &one, &other),
             };
             match ended {
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -4,6 +4,7 @@
 use mallowseam_shares::conflict::explain as contradict;
 use mallowseam_shares::improve::Improve;
 use mallowseam_shares::model::{MOST, Node, Problem, SCALE, Volume};
+use mallowseam_shares::moves;
 use mallowseam_shares::search::{Answer, solve};
 use mallowseam_shares::value::{Placement, Worth, fits, worth};
 use std::fmt::Write;
@@ -301,3 +302,37 @@
         Err(why) => Ended::Wrong(why),
     }
 }
+
+/// The steps to a placement, one a line: `move VOLUME FROM TO DATA`, `-` where there is none.
+pub fn moves(file: &Path, placed: &Path, most: Option<u64>) -> Ended {
+    let told = || -> Result<String, String> {
+        let p = read(file)?;
+        let to = placement(&p, placed)?;
+        let most = most.map(|m| u128::from(m) * SCALE as u128);
+        let moves = moves::order(&p, &moves::today(&p), &to, most);
+        let name = |n: Option<usize>| n.map_or("-", |n| p.nodes[n].name.as_str());
+        let mut out = String::new();
+        for s in &moves.steps {
+            let volume = &p.volumes[s.volume].name;
+            let data = s.data as f64 / SCALE as f64;
+            writeln!(out, "move {volume} {} {} {data}", name(s.from), name(s.to)).expect("memory");
+        }
+        let names =
+            |all: &[usize]| all.iter().map(|v| p.volumes[*v].name.as_str()).collect::<Vec<_>>().join(" ");
+        for (what, all) in [
+            ("stays, beyond the data that may be moved", &moves.left),
+            ("no order of steps was found that breaks nothing", &moves.stuck),
+        ] {
+            if !all.is_empty() {
+                writeln!(out, "# {what}: {}", names(all)).expect("memory");
+            }
+        }
+        write!(out, "# {} steps, data moved {}", moves.steps.len(), moves.data() as f64 / SCALE as f64)
+            .expect("memory");
+        Ok(out)
+    };
+    match told() {
+        Ok(text) => Ended::Done(text),
+        Err(why) => Ended::Wrong(why),
+    }
+}
--- a/crates/lab/tests/shares_cli.rs
+++ b/crates/lab/tests/shares_cli.rs
@@ -65,3 +65,12 @@
     let (code, told) = shares("work-out", &["node a\n  capacity 1/s\nnode a\n  capacity 2/s\n"]);
     assert!(code == 2 && told.contains("expected one node of this name"), "{told}");
 }
+
+#[test]
+fn steps_to_a_placement_are_told_in_an_order_that_holds() {
+    let (code, best) = shares("work-out", &[PROBLEM]);
+    assert_eq!(code, 0, "{best}");
+    let (code, told) = shares("moves", &[&PROBLEM.replace("today a", "size 30\n  today c"), &best]);
+    assert!(code == 0 && told.contains("move tax c ") && told.contains("move water - "), "{told}");
+    assert!(told.contains("steps, data moved 30"), "{told}");
+}
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -7,10 +7,12 @@
 //! - `value`: whether a placement fits, and what it is worth.
 //! - `search`: the best placement, proven.
 //! - `improve`: good placements of large problems, with `bound` for the proven gap.
+//! - `moves`: the steps from today's placement to another one, none of which breaks what is promised.
 //! - `conflict`: where none fits, a smallest set of demands that contradict, and the least relaxation.
 pub mod bound;
 pub mod conflict;
 pub mod improve;
 pub mod model;
+pub mod moves;
 pub mod search;
 pub mod value;
--- a/crates/shares/src/value.rs
+++ b/crates/shares/src/value.rs
@@ -91,6 +91,34 @@
     true
 }
 
+/// How far reserves are from fitting: what they ask beyond each node's capacity, now and with any one node or
+/// zone away, all added up; 0 where they fit. A volume with no node left in a loss that it survives lacks its
+/// whole reserve.
+pub fn excess(p: &Problem, placed: &[(usize, &[usize])], wishes: &dyn Fn(Wish) -> bool) -> i128 {
+    let over = |away: &dyn Fn(usize) -> bool, survives: &dyn Fn(usize) -> bool| -> i128 {
+        let gone = |set: &[usize]| set.iter().all(|n| away(*n));
+        let whole = |v: usize| i128::from(p.volumes[v].reserve) * SCALE;
+        let lacking = placed.iter().filter(|(v, set)| survives(*v) && gone(set)).map(|(v, _)| whole(*v));
+        let lacking: i128 = lacking.sum();
+        let left: Vec<(usize, &[usize])> = placed.iter().copied().filter(|(_, set)| !gone(set)).collect();
+        let loads = loads(p, &left, wishes, away, survives).expect("each has a node left");
+        let room = |n: usize| i128::from(p.nodes[n].capacity) * SCALE;
+        lacking + loads.iter().enumerate().map(|(n, load)| (load - room(n)).max(0)).sum::<i128>()
+    };
+    let never = |_: usize| false;
+    let mut all = over(&never, &never);
+    let node = |v: usize| p.volumes[v].survives_node;
+    if placed.iter().any(|(v, _)| node(*v)) {
+        all += (0..p.nodes.len()).map(|gone| over(&|n| n == gone, &node)).sum::<i128>();
+    }
+    let zone = |v: usize| p.volumes[v].survives_zone;
+    if placed.iter().any(|(v, _)| zone(*v)) {
+        let zones: std::collections::BTreeSet<&str> = p.nodes.iter().map(|n| n.zone.as_str()).collect();
+        all += zones.into_iter().map(|z| over(&|n| p.nodes[n].zone == z, &zone)).sum::<i128>();
+    }
+    all
+}
+
 /// Gain a second when every volume surges at once, scaled: at each node the reserve in full, then by weight
 /// of nine tenths of what the reserves leave, then what is still free in order of price.
 pub fn gain(p: &Problem, placement: &Placement) -> i128 {
