A running host takes up changed plans and which volume has which, without a new start

Shares that are worked out anew are of no use if every host has to be started again for them.

mallowseam reload FILE has a host read its file again. settings::change tells what differs: plans and volumes' plans are taken up, anything else is named, all at once, and then nothing is taken up. The scheduler gained planned(): what a volume has saved up is filled by the old figures and cut to the new ones at once, so that a limit that falls holds from that moment on and one that rises is filled from there; bases and ceilings follow with the next window. Status tells the plans.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -72,6 +72,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Have a running host take up the plans of its changed file, and which volume has which; all else must be as
+    /// it was
+    Reload {
+        /// The host's configuration file
+        file: PathBuf,
+    },
     /// Close a running host to new logins; what is in hand ends
     Drain {
         #[command(flatten)]
@@ -243,6 +249,13 @@
                 control::ask(&path, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
             })
         }
+        What::Reload { file } => load(&file).and_then(|site| {
+            let control =
+                site.host.control.ok_or_else(|| (BAD_FILE, format!("{}: no `control`", file.display())))?;
+            let whole = std::path::absolute(&file).map_err(|e| (FAILED, e.to_string()))?;
+            let line = format!("plans {}", whole.display());
+            control::ask(&control, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
+        }),
         What::Check { file } => load(&file).map(|site| {
             println!(
                 "{}: sound; host {}, {} volumes on {} nodes, {} plans, {} groups",
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,7 +10,7 @@
 
 /// Connections at once, and bytes of a line, at most: an operator and a few scripts.
 pub const MOST: usize = 16;
-const LINE_MOST: usize = 256;
+const LINE_MOST: usize = 8_192;
 
 /// What a host is doing now.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -26,6 +26,17 @@
     pub commands: CommandStatus,
     pub groups: Vec<GroupStatus>,
     pub nodes: Vec<NodeStatus>,
+    #[serde(default)]
+    pub plans: Vec<PlanStatus>,
+}
+
+/// A plan as it counts now: units a second, 0 for no limit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlanStatus {
+    pub name: String,
+    pub reserve: f64,
+    pub limit: f64,
+    pub weight: f64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -167,6 +167,19 @@
 }
 
 impl Desk {
+    /// Volumes have these plans from now on; the scheduler's handles of those that have another one.
+    pub fn planned(&mut self, of: &[usize]) -> Vec<(VolId, u16)> {
+        let mut changed = Vec::new();
+        for (at, (volume, plan)) in self.volumes.iter_mut().zip(of).enumerate() {
+            let plan = *plan as u16;
+            if volume.plan != plan {
+                volume.plan = plan;
+                changed.push((VolId(at as u32), plan));
+            }
+        }
+        changed
+    }
+
     pub fn new(site: &Site, clients: Clients, nodes: Nodes, map: Option<Map>) -> Self {
         let catalog = site.catalog.clone().unwrap_or_default();
         let volume = |v: &site::Volume| Volume {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! The event loop: one thread, every decision the scheduler's or a conduct module's.
 use crate::clients::Clients;
 use crate::clock::{Clock, millis, span};
-use crate::control::{self, CommandStatus, Control, GroupStatus, NodeStatus, Status};
+use crate::control::{self, CommandStatus, Control, GroupStatus, NodeStatus, PlanStatus, Status};
 use crate::desk::Desk;
 use crate::list::List;
 use crate::map::Map;
@@ -13,7 +13,7 @@
 use mallowseam_iscsi::target::TargetTerms;
 use mallowseam_scheduler::host::{NodeId, NodeState, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
-use mallowseam_settings::Site;
+use mallowseam_settings::{Site, change};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use rand::Rng;
@@ -367,13 +367,40 @@
                 self.drain("operator");
                 "stopping".into()
             }
-            other => format!("error: `{other}`: expected status, drain, undrain or stop"),
+            other => match other.strip_prefix("plans ") {
+                Some(file) => self.take_up(file).unwrap_or_else(|why| format!("error: {why}")),
+                None => format!("error: `{other}`: expected status, drain, undrain, plans FILE or stop"),
+            },
+        }
+    }
+
+    /// Takes up the plans of a configuration that differs from the running one in nothing else.
+    fn take_up(&mut self, file: &str) -> Result<String, String> {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+        let wanted = mallowseam_settings::read(file, &text).map_err(|problems| problems.to_string())?;
+        let taken = change::taken(&self.site, &wanted).map_err(|against| against.join("\n"))?;
+        if taken.told.is_empty() {
+            return Ok("nothing is different".into());
+        }
+        self.site.plans = taken.plans;
+        for (volume, plan) in self.site.volumes.iter_mut().zip(&taken.of) {
+            volume.plan = *plan;
         }
+        let changed = self.desk.planned(&taken.of);
+        self.scheduler.planned(self.desk.now, &terms::plans(&self.site), &changed);
+        taken.told.iter().for_each(|what| tracing::info!(what, "plans taken up"));
+        Ok(taken.told.join("\n"))
     }
 
     fn status(&self) -> Status {
         let desk = &self.desk;
         let (list_epoch, list_version) = self.list.known();
+        let plan = |p: &mallowseam_settings::site::Plan| PlanStatus {
+            name: p.name.clone(),
+            reserve: p.reserve,
+            limit: p.limit,
+            weight: p.weight,
+        };
         let group =
             |(g, f): (&mallowseam_settings::site::Group, &crate::figures::GroupFigures)| GroupStatus {
                 name: g.name.clone(),
@@ -427,6 +454,7 @@
             },
             groups: self.site.groups.iter().zip(&desk.figures.groups).map(group).collect(),
             nodes: desk.nodes.all.iter().enumerate().map(node).collect(),
+            plans: self.site.plans.iter().map(plan).collect(),
         }
     }
 }
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -18,18 +18,10 @@
         ordered: g.ordered,
         writes: false,
     };
-    let plan = |p: &site::Plan| Plan {
-        usual: p.usual,
-        reserve: p.reserve,
-        limit: p.limit,
-        limit_burst: p.limit_burst,
-        wt: p.weight,
-        price: p.price,
-    };
     Terms {
         hosts: fleet.hosts,
         groups: site.groups.iter().map(group).collect(),
-        plans: site.plans.iter().map(plan).collect(),
+        plans: plans(site),
         mean_units: fleet.mean_units,
         largest: fleet.largest_units,
         share_gain: fleet.share_gain,
@@ -54,6 +46,18 @@
     }
 }
 
+pub fn plans(site: &Site) -> Vec<Plan> {
+    let plan = |p: &site::Plan| Plan {
+        usual: p.usual,
+        reserve: p.reserve,
+        limit: p.limit,
+        limit_burst: p.limit_burst,
+        wt: p.weight,
+        price: p.price,
+    };
+    site.plans.iter().map(plan).collect()
+}
+
 pub fn layout(site: &Site, volume: &site::Volume) -> Layout {
     let extent = |e: &site::Extent| Extent {
         first: e.first,
--- a/crates/lab/tests/host.rs
+++ b/crates/lab/tests/host.rs
@@ -375,3 +375,34 @@
     let shown = String::from_utf8_lossy(&status.stdout).into_owned();
     assert!(status.status.success() && shown.contains("node1"), "{shown}");
 }
+
+#[test]
+fn changed_plans_are_taken_up_while_clients_go_on_and_all_else_is_refused() {
+    let rig = Rig::new(50.0);
+    let mut client = rig.client(0);
+    assert_eq!(write(&mut client, 1, 0, 8), status::GOOD);
+    let file = rig.dir.path().join("conf");
+    let text = std::fs::read_to_string(&file).expect("there");
+    let reload = || {
+        let out = lab(&["reload", &file.display().to_string()]).output().expect("a run");
+        (out.status.success(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    };
+    assert_eq!(reload(), (true, "nothing is different\n".into()));
+    let tight = "plan free\n  reserve 1/s\n  weight 4\n  limit 1/s burst 8\n";
+    std::fs::write(&file, text.replace("plan free\n  reserve 9999/s\n", tight)).expect("a file");
+    let (done, told) = reload();
+    assert!(done && told.contains("plan free: reserve 1 instead of 9999, limit 1"), "{told}");
+    let plan = &rig.status().plans[0];
+    assert_eq!((plan.reserve, plan.limit, plan.weight), (1.0, 1.0, 4.0));
+    // A unit a second from an empty store, while each of twenty in a row waits for half a second at most.
+    let shed = (0..20).filter(|i| write(&mut client, 2 + i, 8 * i, 8) == status::BUSY).count();
+    assert!((10..=17).contains(&shed), "{shed} of 20");
+    std::fs::write(&file, text.replace("longest 1MiB", "longest 2MiB").replace("9999/s", "5/s"))
+        .expect("a file");
+    let (done, told) = reload();
+    assert!(!done && told.contains("section host: differs"), "{told}");
+    assert_eq!(rig.status().plans[0].reserve, 1.0, "nothing was taken up");
+    std::fs::write(&file, &text).expect("a file");
+    assert!(reload().0);
+    assert!((0..20).all(|i| write(&mut client, 50 + i, 8 * i, 8) == status::GOOD));
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -186,6 +186,18 @@
     }
 }
 
+impl Plan {
+    fn of(p: &crate::host::Plan) -> Self {
+        Plan {
+            reserve: p.reserve / SECOND,
+            limit: if p.limit > 0.0 { p.limit / SECOND } else { f64::INFINITY },
+            burst: p.limit_burst,
+            wt: if p.wt > 0.0 { p.wt } else { 1.0 },
+            price: p.price,
+        }
+    }
+}
+
 impl Volume {
     /// Lets the parts that fall to one host fill up: of the limit, and of the reserve with a second of it.
     fn fill(&mut self, now: Tick, plan: &Plan, largest: f64) {
@@ -241,13 +253,6 @@
 
 impl Scheduler {
     pub fn new(terms: &Terms, seed: u64, now: Tick) -> Self {
-        let plan = |p: &crate::host::Plan| Plan {
-            reserve: p.reserve / SECOND,
-            limit: if p.limit > 0.0 { p.limit / SECOND } else { f64::INFINITY },
-            burst: p.limit_burst,
-            wt: if p.wt > 0.0 { p.wt } else { 1.0 },
-            price: p.price,
-        };
         let hosts = f64::from(terms.hosts.max(1));
         let mean_price = terms.plans.iter().map(|p| p.price).sum::<f64>() / terms.plans.len().max(1) as f64;
         let mean_gain = terms.groups.iter().map(|g| g.gain).sum::<f64>() / terms.groups.len().max(1) as f64;
@@ -265,7 +270,7 @@
         let mut pcg = Pcg::new(seed);
         let ask_at = if terms.list_on_request { now + pcg.below(ASK_FIRST) as Tick } else { Tick::MAX };
         Scheduler {
-            plans: terms.plans.iter().map(plan).collect(),
+            plans: terms.plans.iter().map(Plan::of).collect(),
             groups: terms.groups.iter().map(group).collect(),
             mean_units: if terms.mean_units > 0.0 { terms.mean_units } else { 1.0 },
             largest: terms.largest.max(1.0),
@@ -350,6 +355,25 @@
         self.sleep(host, now);
     }
 
+    /// Plans as they stand from now on, and volumes that have another one. What a volume has saved up under the
+    /// old figures stays its own, cut to the new ones at once: a limit that falls holds from this moment on, and
+    /// one that rises is filled from here. Bases and ceilings follow with the next window.
+    pub fn planned(&mut self, now: Tick, plans: &[crate::host::Plan], of: &[(VolId, u16)]) {
+        let largest = self.largest;
+        for vol in self.volumes.iter_mut() {
+            vol.fill(now, &self.plans[vol.plan], largest);
+        }
+        self.plans = plans.iter().map(Plan::of).collect();
+        for (id, plan) in of {
+            if let Some(vol) = self.volumes.get_mut(id.0) {
+                vol.plan = usize::from(*plan);
+            }
+        }
+        for vol in self.volumes.iter_mut() {
+            vol.fill(now, &self.plans[vol.plan], largest);
+        }
+    }
+
     /// A block I/O has come in.
     pub fn take(&mut self, host: &mut dyn Host, now: Tick, bio: Bio) {
         self.taken.add(now, 1.0);
--- a/crates/scheduler/src/slab.rs
+++ b/crates/scheduler/src/slab.rs
@@ -23,6 +23,10 @@
         self.0.get(at as usize)?.as_ref()
     }
 
+    pub(crate) fn get_mut(&mut self, at: u32) -> Option<&mut T> {
+        self.0.get_mut(at as usize)?.as_mut()
+    }
+
     pub(crate) fn remove(&mut self, at: u32) {
         self.0[at as usize] = None;
     }
--- a/crates/scheduler/tests/fake/mod.rs
+++ b/crates/scheduler/tests/fake/mod.rs
@@ -142,6 +142,10 @@
         self.scheduler.ended(&mut self.log, now, BioId(id), &outcome);
     }
 
+    pub fn planned(&mut self, plans: &[Plan], of: &[(VolId, u16)]) {
+        self.scheduler.planned(self.log.now, plans, of);
+    }
+
     pub fn gone(&mut self, id: u32) {
         let now = self.log.now;
         self.scheduler.gone(&mut self.log, now, BioId(id));
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -206,6 +206,38 @@
     assert_eq!(s.sent().len(), 1, "a second of the part of a half has filled");
 }
 
+#[test_case(10.0, 10.0, 1; "as it was")]
+#[test_case(40.0, 10.0, 1; "one that falls holds from that moment on")]
+#[test_case(10.0, 40.0, 2; "one that rises is filled from there")]
+fn a_limit_that_changes_is_never_passed(before: f64, after: f64, sends: usize) {
+    let mut t = terms();
+    let limit = |limit: f64| Plan { limit, limit_burst: limit * 1.6, ..terms().plans[1].clone() };
+    t.plans[1] = limit(before);
+    let mut s = Story::new(&Terms { hosts: 2, ..t });
+    // Long enough that any store is full by now.
+    s.take(Bio { units: 0.1, ..limited(&s, 0) });
+    s.pass(20_000);
+    s.planned(&[terms().plans[0].clone(), limit(after)], &[]);
+    s.pass(10_000 * usize::from(after > before) as Tick);
+    let sent = s.sent().len();
+    (10..20).for_each(|id| s.take(Bio { units: 8.0, ..limited(&s, id) }));
+    assert_eq!(s.sent().len() - sent, sends);
+}
+
+#[test]
+fn a_volume_that_gets_another_plan_is_served_by_it_at_once() {
+    let mut t = terms();
+    t.plans.push(Plan { price: 0.5, ..t.plans[0].clone() });
+    let mut s = Story::new(&t);
+    (0..8).for_each(|id| s.take(Bio { plan: 2, vol: VolId(3), units: 1.0, ..s.bio(id) }));
+    s.take(s.bio(9));
+    s.planned(&t.plans, &[(VolId(3), 0), (s.bio(9).vol, 2)]);
+    let first = s.sent().len();
+    let id = s.sent()[0];
+    s.end(id, 0, Ending::Done, 200);
+    assert_ne!(s.sent().get(first), Some(&9), "it earns less than the others now");
+}
+
 #[test]
 fn a_node_that_was_slow_is_tried_again() {
     let mut s = Story::new(&Terms { hosts: 9, ..terms() });
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! The configuration of a host: a line-based format, one directive a line, in sections. `docs/configuration.md`
 //! lists every directive. A file is read whole: all its problems come back together, each with line, column,
 //! what stood there and what was expected.
+pub mod change;
 mod check;
 pub mod lines;
 mod read;
