Weights, reserves and limits' parts are worked out, and written into a host's configuration

Weights and reserves were given, never chosen, and what was worked out had to be copied by hand.

shares::choose raises reserves up to a stated most, the dearest first, as far as they fit in every loss survived; picks weights by what the dearest demand would get of each node's spare, improves them by doubling and halving, and keeps the given ones where nothing gains; and deals a limit to hosts in whole parts that always add up to it. work-out tells lines share; mallowseam shares apply writes them into a configuration's own text (settings::edit): comments and all else stay, a plan whose volumes differ gets copies of its own, and volumes that lack or lie elsewhere are refused by name. A host takes the result up with reload.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -111,6 +111,16 @@
     Explain { file: PathBuf, placement: PathBuf },
     /// What two placements are worth, side by side
     Compare { file: PathBuf, one: PathBuf, other: PathBuf },
+    /// Write the shares of an answer into a host's configuration; without --write, tell what would change
+    Apply {
+        file: PathBuf,
+        /// What `work-out` told
+        answer: PathBuf,
+        /// The host's configuration
+        conf: PathBuf,
+        #[arg(long)]
+        write: bool,
+    },
     /// The steps from where volumes lie today, in an order that breaks no reserve and no zone wish on the way
     Moves {
         file: PathBuf,
@@ -196,6 +206,7 @@
                     shares::work_out(&file, std::time::Duration::from_secs(seconds), seed)
                 }
                 Shares::Explain { file, placement } => shares::explain(&file, &placement),
+                Shares::Apply { file, answer, conf, write } => shares::apply(&file, &answer, &conf, write),
                 Shares::Moves { file, placement, data } => shares::moves(&file, &placement, data),
                 Shares::Compare { file, one, other } => shares::compare(&file, &one, &other),
             };
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -1,12 +1,16 @@
 //! `mallowseam shares`: problems and placements as files, and what is worked out told.
+use mallowseam_settings::edit::Share;
 use mallowseam_settings::lines::{Args, At, Problems, words};
+use mallowseam_settings::{change, edit};
 use mallowseam_shares::bound;
+use mallowseam_shares::choose::choose;
 use mallowseam_shares::conflict::explain as contradict;
 use mallowseam_shares::improve::Improve;
 use mallowseam_shares::model::{MOST, Node, Problem, SCALE, Volume};
 use mallowseam_shares::moves;
 use mallowseam_shares::search::{Answer, solve};
 use mallowseam_shares::value::{Placement, Worth, fits, worth};
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -106,6 +110,7 @@
 fn volume(v: &mut Volume, word: &str, args: &mut Args) -> bool {
     match word {
         "reserve" => v.reserve = args.exact_rate(RATE).unwrap_or(0),
+        "reserve-most" => v.reserve_most = args.exact_rate(RATE).unwrap_or(0),
         "surge" => v.surge = args.exact_rate(RATE).unwrap_or(0),
         "weight" => v.weight = args.whole("a whole number", 0, MOST).unwrap_or(0),
         "price" => v.price = args.whole("thousandths, 1000 for the plain price", 0, MOST).unwrap_or(0),
@@ -183,10 +188,24 @@
 fn tell(p: &Problem, best: &Worth, proven: bool) -> String {
     let most = bound::most(p);
     let mut out = String::new();
+    let chosen = choose(p, &best.order.0);
     for (v, set) in p.volumes.iter().zip(&best.order.0) {
         let names: Vec<&str> = set.iter().map(|n| p.nodes[*n].name.as_str()).collect();
         writeln!(out, "place {} {}", v.name, names.join(" ")).expect("memory");
     }
+    for (v, (reserve, weight)) in p.volumes.iter().zip(chosen.reserves.iter().zip(&chosen.weights)) {
+        writeln!(out, "share {} reserve {} weight {weight}", v.name, rate(*reserve)).expect("memory");
+    }
+    if chosen.gain > chosen.before {
+        let gain = |g: i128| g as f64 / GAIN;
+        writeln!(
+            out,
+            "# with these shares {:.3} a second, with those given {:.3}",
+            gain(chosen.gain),
+            gain(chosen.before)
+        )
+        .expect("memory");
+    }
     let gap = if most > 0 { 100.0 * (most - best.gain) as f64 / most as f64 } else { 0.0 };
     write!(
         out,
@@ -201,18 +220,42 @@
     out
 }
 
-/// Reads a placement: lines `place VOLUME NODE …`.
+fn rate(thousandths: u64) -> String {
+    format!("{}.{:03}/s", thousandths / 1000, thousandths % 1000)
+}
+
 fn placement(p: &Problem, file: &Path) -> Result<Placement, String> {
+    answer(p, file).map(|a| a.0)
+}
+
+/// Reads what was worked out: lines `place VOLUME NODE …` for all volumes, and `share VOLUME reserve R weight N`.
+fn answer(p: &Problem, file: &Path) -> Result<(Placement, Vec<Share>), String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
     let mut problems = Problems::new(&name);
     let mut at: Placement = vec![Vec::new(); p.volumes.len()];
+    let mut shares: Vec<Share> = Vec::new();
     for (i, line) in text.lines().enumerate() {
         let words = words(i + 1, line, &mut problems);
         let Some(first) = words.first() else { continue };
-        let start = first.at;
+        let (start, what) = (first.at, first.text.clone());
+        if !matches!(what.as_str(), "place" | "share") {
+            problems.add(start, "place or share", format!("`{what}`"));
+            continue;
+        }
         let mut args = Args::new(&words, &mut problems);
         let volume = args.value("the name of a volume", |w| p.volumes.iter().position(|v| v.name == w));
+        if what == "share" {
+            args.value("reserve", |w| (w == "reserve").then_some(()));
+            let reserve = args.exact_rate(RATE);
+            args.value("weight", |w| (w == "weight").then_some(()));
+            let weight = args.whole("a whole number", 0, MOST);
+            args.end();
+            if let (Some(v), Some(reserve), Some(weight)) = (volume, reserve, weight) {
+                shares.push(Share { volume: p.volumes[v].name.clone(), reserve, weight });
+            }
+            continue;
+        }
         let mut set = Vec::new();
         while args.more() {
             set.extend(args.value("the name of a node", |w| p.nodes.iter().position(|n| n.name == w)));
@@ -230,7 +273,61 @@
     for (v, _) in at.iter().enumerate().filter(|a| a.1.is_empty()) {
         problems.add(top, format!("a line for volume {}", p.volumes[v].name), "none");
     }
-    if problems.is_empty() { Ok(at) } else { Err(problems.sorted().to_string()) }
+    if problems.is_empty() { Ok((at, shares)) } else { Err(problems.sorted().to_string()) }
+}
+
+/// Writes the shares of an answer into a configuration, which then still has to be taken up (`reload`). What the
+/// configuration contradicts is refused: volumes that it lacks, and data that lies elsewhere than the answer
+/// has it. Without `write` it only tells what would change.
+pub fn apply(file: &Path, answered: &Path, conf: &Path, write: bool) -> Ended {
+    let done = || -> Result<String, String> {
+        let p = read(file)?;
+        let (at, shares) = answer(&p, answered)?;
+        let name = conf.display().to_string();
+        let text = std::fs::read_to_string(conf).map_err(|e| format!("{name}: {e}"))?;
+        let site = mallowseam_settings::read(&name, &text).map_err(|problems| problems.to_string())?;
+        let mut against = Vec::new();
+        for (v, set) in p.volumes.iter().zip(&at) {
+            let Some(volume) = site.volumes.iter().find(|w| w.name == v.name && !w.mapped) else { continue };
+            let lies: BTreeSet<&str> =
+                volume.extents.iter().map(|e| site.nodes[e.node].name.as_str()).collect();
+            let wanted: BTreeSet<&str> = set.iter().map(|n| p.nodes[*n].name.as_str()).collect();
+            if lies != wanted {
+                let names = |s: &BTreeSet<&str>| s.iter().copied().collect::<Vec<_>>().join(" ");
+                against.push(format!(
+                    "volume {}: lies on {}, and the answer has it on {}; move its data first (`shares moves`)",
+                    v.name,
+                    names(&lies),
+                    names(&wanted)
+                ));
+            }
+        }
+        let edited = match edit::shares(&text, &site, &shares) {
+            Ok(edited) => edited,
+            Err(mut unknown) => {
+                against.append(&mut unknown);
+                String::new()
+            }
+        };
+        if !against.is_empty() {
+            return Err(against.join("\n"));
+        }
+        let wanted = mallowseam_settings::read(&name, &edited).map_err(|problems| problems.to_string())?;
+        let taken = change::taken(&site, &wanted).map_err(|against| against.join("\n"))?;
+        let told = if taken.told.is_empty() { "nothing is different".into() } else { taken.told.join("\n") };
+        if write && !taken.told.is_empty() {
+            // Whole or not at all: a host that starts meanwhile reads the one or the other.
+            let beside = conf.with_extension("new");
+            std::fs::write(&beside, &edited).map_err(|e| format!("{}: {e}", beside.display()))?;
+            std::fs::rename(&beside, conf).map_err(|e| format!("{name}: {e}"))?;
+            return Ok(format!("{told}\nwritten; `mallowseam reload {name}` has the host take it up"));
+        }
+        Ok(told)
+    };
+    match done() {
+        Ok(text) => Ended::Done(text),
+        Err(why) => Ended::Wrong(why),
+    }
 }
 
 /// What two placements of one problem are worth, side by side.
--- a/crates/lab/tests/shares_cli.rs
+++ b/crates/lab/tests/shares_cli.rs
@@ -74,3 +74,50 @@
     assert!(code == 0 && told.contains("move tax c ") && told.contains("move water - "), "{told}");
     assert!(told.contains("steps, data moved 30"), "{told}");
 }
+
+#[test]
+fn shares_are_chosen_and_written_into_a_configuration_that_a_host_can_take_up() {
+    let problem =
+        PROBLEM.replace("volume tax\n", "volume tax\n  reserve-most 3/s\n").replace("today a", "today c");
+    let (code, answer) = shares("work-out", &[&problem]);
+    assert!(code == 0 && answer.contains("share tax reserve 3.000/s weight "), "{answer}");
+    assert!(answer.contains("# with these shares "), "{answer}");
+    let lies = |volume: &str| {
+        let line = answer.lines().find(|l| l.starts_with(&format!("place {volume} "))).expect("placed");
+        line.split(' ').skip(2).map(str::to_owned).collect::<Vec<_>>()
+    };
+    let mut conf = String::from(
+        "host gw0\n  listen 127.0.0.1:3260\n  target iqn.t:g\n  node-list static\n  window 8\n  connections 4\n  \
+         longest 1MiB\nfleet\n  hosts 1\n  unit 4KiB\n  mean-units 1\n  largest-units 8\n  submits 2\nplan free # all\n  \
+         reserve 1/s\ngroup any\n  effect idempotent\n  goal 1s\n  hard-limit 2s\n",
+    );
+    for (i, volume) in ["gas", "tax"].iter().enumerate() {
+        let node = &lies(volume)[0];
+        conf += &format!(
+            "volume {volume}\n  lun {i}\n  plan free\n  blocks 64\n  block-size 512B\n  hosts 1\n  extent 0 64 {node} at \
+             {}\n  rule any any\n",
+            i * 64
+        );
+    }
+    for (i, n) in ["a", "b", "c"].iter().enumerate() {
+        conf += &format!("node {n}\n  address 127.0.0.1:{}\n  target iqn.t:{n}\n", 4000 + i);
+    }
+    // Water is not in this configuration.
+    let (code, told) = shares("apply", &[&problem, &answer, &conf]);
+    assert!(code == 2 && told.contains("volume water: the configuration has none of this name"), "{told}");
+    let two = |text: &str| text.lines().filter(|l| !l.contains(" water ")).collect::<Vec<_>>().join("\n");
+    let few = problem
+        .replace("volume water\n  reserve 6/s\n  surge 12/s\n  spread 2\n  survives node\n  apart\n", "");
+    let (code, told) = shares("apply", &[&few, &two(&answer), &conf]);
+    assert!(
+        code == 0 && told.contains("plan free-tax: new") && told.contains("volume gas: plan free-gas"),
+        "{told}"
+    );
+    let other = if lies("tax") == ["b"] { "c" } else { "b" };
+    let moved = two(&answer).replace(&format!("place tax {}", lies("tax")[0]), &format!("place tax {other}"));
+    let (code, told) = shares("apply", &[&few, &moved, &conf]);
+    assert!(
+        code == 2 && told.contains("volume tax: lies on ") && told.contains("move its data first"),
+        "{told}"
+    );
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! what stood there and what was expected.
 pub mod change;
 mod check;
+pub mod edit;
 pub mod lines;
 mod read;
 pub mod site;
--- a/crates/settings/tests/reading.rs
+++ b/crates/settings/tests/reading.rs
@@ -1,6 +1,7 @@
 //! A file is read whole, and what is wrong with it comes back in one go.
-use mallowseam_settings::read;
+use mallowseam_settings::edit::{self, Share};
 use mallowseam_settings::site::{Direction, Effect};
+use mallowseam_settings::{change, read};
 use proptest::prelude::*;
 
 const SOUND: &str = r#"
@@ -143,3 +144,40 @@
         }
     }
 }
+
+/// A second volume on the plan of the first.
+fn two() -> String {
+    let other = "volume gas   # the other one\n    lun 2\n    plan basic\n    blocks 64\n    block-size 512B\n    hosts 3\n    \
+                 extent 0 64 brick1 at 9000\n    rule any lookup\n";
+    format!("{SOUND}{other}")
+        .replace("plan basic\n    usual", "plan basic\n    weight 2  # as agreed\n    usual")
+}
+
+fn share(volume: &str, reserve: u64, weight: u64) -> Share {
+    Share { volume: volume.into(), reserve, weight }
+}
+
+#[test]
+fn shares_are_written_into_the_text_and_all_else_stays() {
+    let text = two();
+    let site = read("site", &text).expect("sound");
+    let both = [share("water", 5_500, 7), share("gas", 5_500, 7)];
+    let same = edit::shares(&text, &site, &both).expect("known");
+    assert!(same.contains("    weight 7  # as agreed\n") && same.contains("    reserve 5.500/s\n"), "{same}");
+    let edited = read("site", &same).expect("sound");
+    assert_eq!((edited.plans.len(), edited.plans[0].reserve, edited.plans[0].weight), (1, 5.5, 7.0));
+    let own = edit::shares(&text, &site, &[share("gas", 3_000, 9)]).expect("known");
+    let edited = read("site", &own).expect("sound");
+    let plan = |v: &str| &edited.plans[edited.volumes.iter().find(|w| w.name == v).expect("there").plan];
+    assert_eq!((plan("gas").name.as_str(), plan("gas").reserve, plan("gas").weight), ("basic-gas", 3.0, 9.0));
+    assert_eq!((plan("gas").usual, plan("gas").limit, plan("gas").limit_burst), (20.0, 40.0, 16.0));
+    assert_eq!((plan("water").name.as_str(), plan("water").weight), ("basic", 2.0));
+    assert!(change::taken(&site, &edited).is_ok(), "a running host can take it up");
+    // Once more: the plan is its own now, and is changed where it stands.
+    let again = edit::shares(&own, &edited, &[share("gas", 4_000, 9)]).expect("known");
+    let edited = read("site", &again).expect("sound");
+    assert_eq!((edited.plans.len(), edited.plans[1].reserve), (2, 4.0));
+    assert!(again.starts_with(&text[..text.find("volume gas").expect("there")]), "the rest is as it was");
+    let unknown = edit::shares(&text, &site, &[share("oil", 1, 1), share("tax", 1, 1)]);
+    assert_eq!(unknown.expect_err("neither is there").len(), 2);
+}
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -7,9 +7,11 @@
 //! - `value`: whether a placement fits, and what it is worth.
 //! - `search`: the best placement, proven.
 //! - `improve`: good placements of large problems, with `bound` for the proven gap.
+//! - `choose`: weights and reserves that are left open, and a limit's parts by host.
 //! - `moves`: the steps from today's placement to another one, none of which breaks what is promised.
 //! - `conflict`: where none fits, a smallest set of demands that contradict, and the least relaxation.
 pub mod bound;
+pub mod choose;
 pub mod conflict;
 pub mod improve;
 pub mod model;
--- a/crates/shares/src/model.rs
+++ b/crates/shares/src/model.rs
@@ -23,6 +23,8 @@
 pub struct Volume {
     pub name: String,
     pub reserve: u64,
+    /// Its reserve may be chosen up to this; what is less than the reserve leaves no choice.
+    pub reserve_most: u64,
     /// All that it asks for in a surge, its reserve among it.
     pub surge: u64,
     pub weight: u64,
@@ -83,7 +85,7 @@
             }
         }
         for v in &volumes {
-            if [v.reserve, v.surge, v.weight, v.price, v.size].iter().any(|n| *n > MOST) {
+            if [v.reserve, v.reserve_most, v.surge, v.weight, v.price, v.size].iter().any(|n| *n > MOST) {
                 add(&v.name, "numbers up to a million million");
             }
             if v.spread == 0 || v.spread > SPREAD_MOST {
