Measured demand is recorded from running hosts, and answers are held against it

A worked-out answer could only be judged by the surge that its file states.

Hosts count the units that clients ask of each volume and that end, in status; mallowseam demand FILE... records them interval by interval over all hosts, naming those that do not answer or have started anew; mallowseam shares replay tells what answers would have earned with it by the model: mean, worst interval, in how many each was best.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -72,6 +72,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Record what clients ask of each volume, over all these hosts, as lines that `shares replay` reads
+    Demand {
+        /// The hosts' configuration files
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Seconds of an interval
+        #[arg(long, default_value_t = 10)]
+        every: u64,
+        /// Intervals; 0: until it is ended
+        #[arg(long, default_value_t = 0)]
+        count: u64,
+    },
     /// Have a running host take up the plans of its changed file, and which volume has which; all else must be as
     /// it was
     Reload {
@@ -121,6 +133,13 @@
         #[arg(long)]
         write: bool,
     },
+    /// What answers would have earned with the demand that `mallowseam demand` recorded
+    Replay {
+        file: PathBuf,
+        record: PathBuf,
+        #[arg(required = true)]
+        answers: Vec<PathBuf>,
+    },
     /// The steps from where volumes lie today, in an order that breaks no reserve and no zone wish on the way
     Moves {
         file: PathBuf,
@@ -207,6 +226,7 @@
                 }
                 Shares::Explain { file, placement } => shares::explain(&file, &placement),
                 Shares::Apply { file, answer, conf, write } => shares::apply(&file, &answer, &conf, write),
+                Shares::Replay { file, record, answers } => shares::replay(&file, &record, &answers),
                 Shares::Moves { file, placement, data } => shares::moves(&file, &placement, data),
                 Shares::Compare { file, one, other } => shares::compare(&file, &one, &other),
             };
@@ -260,6 +280,16 @@
                 control::ask(&path, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
             })
         }
+        What::Demand { files, every, count } => {
+            let control = |file: &PathBuf| {
+                let control = load(file)?.host.control;
+                control.ok_or_else(|| (BAD_FILE, format!("{}: no `control`", file.display())))
+            };
+            files.iter().map(control).collect::<Result<Vec<_>, _>>().map(|controls| {
+                let every = std::time::Duration::from_secs(every.max(1));
+                crate::demand::record(&controls, every, count, &mut |line| println!("{line}"));
+            })
+        }
         What::Reload { file } => load(&file).and_then(|site| {
             let control =
                 site.host.control.ok_or_else(|| (BAD_FILE, format!("{}: no `control`", file.display())))?;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -28,6 +28,16 @@
     pub nodes: Vec<NodeStatus>,
     #[serde(default)]
     pub plans: Vec<PlanStatus>,
+    #[serde(default)]
+    pub volumes: Vec<VolumeStatus>,
+}
+
+/// Units since the host's start.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VolumeStatus {
+    pub name: String,
+    pub asked_units: f64,
+    pub ended_units: f64,
 }
 
 /// A plan as it counts now: units a second, 0 for no limit.
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -5,7 +5,7 @@
 
 use crate::clients::Clients;
 use crate::clock::{down, millis, up};
-use crate::figures::{Figures, GroupFigures, NodeFigures};
+use crate::figures::{Figures, GroupFigures, NodeFigures, VolumeFigures};
 use crate::map::Map;
 use crate::nodes::{self, Nodes, Order};
 use crate::slots::Slots;
@@ -204,6 +204,7 @@
             figures: Figures {
                 groups: site.groups.iter().map(|_| GroupFigures::default()).collect(),
                 nodes: vec![NodeFigures::default(); site.nodes.len()],
+                volumes: vec![VolumeFigures::default(); site.volumes.len()],
                 ..Figures::default()
             },
             wake_at: None,
@@ -360,6 +361,10 @@
         let group = io.part.group as usize;
         let figures = &mut self.figures.groups[group];
         figures.answers.ended += 1;
+        if io.copies.is_none() {
+            let bytes = u64::from(io.part.blocks) * u64::from(self.volumes[io.vol].block_size);
+            self.figures.volumes[io.vol].ended += bytes.div_ceil(self.unit) as f64;
+        }
         let wait = self.now - io.taken;
         figures.late += u64::from(wait > self.groups[group].goal);
         figures.waits.saturating_record(wait.max(0) as u64 * 100);
@@ -595,6 +600,9 @@
             hosts: volume.hosts,
         };
         self.figures.groups[part.group as usize].answers.taken += 1;
+        if io.copies.is_none() {
+            self.figures.volumes[io.vol].asked += bio.units;
+        }
         let now = self.now;
         scheduler.take(self, now, bio);
     }
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -55,9 +55,17 @@
     }
 }
 
+/// Units that clients have asked of a volume, and that ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct VolumeFigures {
+    pub asked: f64,
+    pub ended: f64,
+}
+
 #[derive(Default)]
 pub struct Figures {
     pub commands: Answers,
     pub groups: Vec<GroupFigures>,
     pub nodes: Vec<NodeFigures>,
+    pub volumes: Vec<VolumeFigures>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clients;
 pub mod clock;
 mod control;
+mod demand;
 mod desk;
 mod figures;
 mod list;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,8 +1,11 @@
 //! The event loop: one thread, every decision the scheduler's or a conduct module's.
 use crate::clients::Clients;
 use crate::clock::{Clock, millis, span};
-use crate::control::{self, CommandStatus, Control, GroupStatus, NodeStatus, PlanStatus, Status};
+use crate::control::{
+    self, CommandStatus, Control, GroupStatus, NodeStatus, PlanStatus, Status, VolumeStatus,
+};
 use crate::desk::Desk;
+use crate::figures::VolumeFigures;
 use crate::list::List;
 use crate::map::Map;
 use crate::nodes::Nodes;
@@ -395,6 +398,11 @@
     fn status(&self) -> Status {
         let desk = &self.desk;
         let (list_epoch, list_version) = self.list.known();
+        let volume = |(v, f): (&mallowseam_settings::site::Volume, &VolumeFigures)| VolumeStatus {
+            name: v.name.clone(),
+            asked_units: f.asked,
+            ended_units: f.ended,
+        };
         let plan = |p: &mallowseam_settings::site::Plan| PlanStatus {
             name: p.name.clone(),
             reserve: p.reserve,
@@ -455,6 +463,7 @@
             groups: self.site.groups.iter().zip(&desk.figures.groups).map(group).collect(),
             nodes: desk.nodes.all.iter().enumerate().map(node).collect(),
             plans: self.site.plans.iter().map(plan).collect(),
+            volumes: self.site.volumes.iter().zip(&desk.figures.volumes).map(volume).collect(),
         }
     }
 }
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -1,4 +1,5 @@
 //! `mallowseam shares`: problems and placements as files, and what is worked out told.
+use crate::demand;
 use mallowseam_settings::edit::Share;
 use mallowseam_settings::lines::{Args, At, Problems, words};
 use mallowseam_settings::{change, edit};
@@ -9,10 +10,10 @@
 use mallowseam_shares::model::{MOST, Node, Problem, SCALE, Volume};
 use mallowseam_shares::moves;
 use mallowseam_shares::search::{Answer, solve};
-use mallowseam_shares::value::{Placement, Worth, fits, worth};
+use mallowseam_shares::value::{Placement, Worth, fits, gain_of, worth};
 use std::collections::BTreeSet;
 use std::fmt::Write;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 /// Steps of the exact search before a large problem goes on by moves, and moves between two looks at the time.
@@ -433,3 +434,53 @@
         Err(why) => Ended::Wrong(why),
     }
 }
+
+/// What answers would have earned with the demand that was measured: gain a second of each, over all intervals,
+/// in the worst of them, and how many intervals it was best in.
+pub fn replay(file: &Path, record: &Path, answers: &[PathBuf]) -> Ended {
+    let done = || -> Result<String, String> {
+        let p = read(file)?;
+        let intervals = demand::read(record)?;
+        let known = |name: &String| p.volumes.iter().any(|v| v.name == *name);
+        let unknown: BTreeSet<&String> =
+            intervals.iter().flat_map(|i| i.keys()).filter(|n| !known(n)).collect();
+        if let Some(name) = unknown.first() {
+            return Err(format!("{}: volume {name} is not in {}", record.display(), file.display()));
+        }
+        if intervals.is_empty() {
+            return Err(format!("{}: no intervals", record.display()));
+        }
+        let mut earned: Vec<Vec<i128>> = Vec::new();
+        for path in answers {
+            let (at, shares) = answer(&p, path)?;
+            let figures: Vec<(u64, u64)> = p
+                .volumes
+                .iter()
+                .map(|v| {
+                    let own = shares.iter().find(|s| s.volume == v.name);
+                    own.map_or((v.reserve, v.weight), |s| (s.reserve, s.weight))
+                })
+                .collect();
+            let moment = |i: &demand::Interval| {
+                let asked =
+                    |v: &Volume| (i.get(&v.name).copied().unwrap_or(0.0) * 1000.0).min(MOST as f64) as u64;
+                gain_of(&p, &at, &figures, &p.volumes.iter().map(asked).collect::<Vec<_>>())
+            };
+            earned.push(intervals.iter().map(moment).collect());
+        }
+        let mut out = format!("{:<28}{:>14}{:>14}{:>10}", "answer", "gain a second", "worst", "best in");
+        for (path, gains) in answers.iter().zip(&earned) {
+            let mean = gains.iter().sum::<i128>() as f64 / gains.len() as f64 / GAIN;
+            let worst = *gains.iter().min().expect("not empty") as f64 / GAIN;
+            let best = (0..gains.len()).filter(|i| earned.iter().all(|g| g[*i] <= gains[*i])).count();
+            write!(out, "\n{:<28}{mean:>14.3}{worst:>14.3}{best:>10}", path.display().to_string())
+                .expect("memory");
+        }
+        write!(out, "\n# {} intervals; gains are the model's", intervals.len()).expect("memory");
+        Ok(out)
+    };
+    match done() {
+        Ok(text) => Ended::Done(text),
+        Err(why) => Ended::Wrong(why),
+    }
+}
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -102,6 +102,18 @@
     pub snapshots: u64,
     pub inexact: Vec<String>,
     pub groups: Vec<GroupCount>,
+    /// Each command, in the order in which they were asked.
+    pub got: Vec<Got>,
+}
+
+/// How a command of a client came out.
+#[derive(Clone, Copy, Debug)]
+pub struct Got {
+    pub volume: usize,
+    pub group: usize,
+    pub asked: Micros,
+    /// Ended well within its goal.
+    pub in_time: bool,
 }
 
 impl Verdict {
@@ -701,13 +713,16 @@
             .map(|g| GroupCount { name: g.name.clone(), ..GroupCount::default() })
             .collect();
         for op in &self.ops {
+            let goal = self.site.groups[op.group].goal;
+            let in_time = op.good().is_some_and(|at| at - op.asked <= goal);
+            v.got.push(Got { volume: op.volume, group: op.group, asked: op.asked, in_time });
             let group = &mut v.groups[op.group];
             group.asked += 1;
             match op.answered {
                 Some((at, status::GOOD)) => {
                     group.ended += 1;
                     group.waits.push(at - op.asked);
-                    group.in_time += u64::from(at - op.asked <= self.site.groups[op.group].goal);
+                    group.in_time += u64::from(in_time);
                 }
                 Some((_, status::BUSY | status::TASK_SET_FULL)) => group.shed += 1,
                 Some(_) => group.failed += 1,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod rehearse;
 pub mod script;
+pub mod sharesday;
 pub mod snapbench;
 pub mod trace;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,6 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
-use mallowseam_lab::{bench, brute, script, snapbench};
+use mallowseam_lab::{bench, brute, script, sharesday, snapbench};
 use mallowseam_shares::model::Problem;
 use mallowseam_shares::search::{Answer, solve};
 use std::ffi::OsString;
@@ -40,6 +40,14 @@
         #[arg(long, default_value_t = 2000)]
         count: u64,
     },
+    /// Play one day of surges with even, given and worked-out weights, and count what each earns
+    SharesDay {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds in a row, from the first on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+    },
     /// Compare clients at a node directly and through a host
     Bench(bench::Options),
     /// Measure what snapshots cost: writes round cuts, first writes, reads, and the catalog's size and times
@@ -64,6 +72,12 @@
         What::Demo { seed } => play("demo", seed, 1, false),
         What::Rehearse { script, seed, seeds, quiet } => play(&script, seed, seeds, quiet),
         What::SharesCheck { seed, count } => shares_check(seed, count),
+        What::SharesDay { seed, seeds } => {
+            finish(sharesday::run(seed, seeds, &program()).map(|(text, kept)| {
+                println!("{text}");
+                kept
+            }))
+        }
         What::Bench(options) => finish(bench::run(&options, &program()).map(|table| {
             print!("{table}");
             true
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -139,6 +139,12 @@
     out
 }
 
+/// The configuration that a scene's hosts share.
+pub(crate) fn site_of(scene: &Scene) -> Result<Site, String> {
+    let text = site_text(scene, &Addresses::new(), Path::new("."), 0, 0);
+    mallowseam_settings::read(&scene.name, &text).map_err(|p| p.to_string())
+}
+
 struct HostProcess {
     child: Option<Child>,
     file: PathBuf,
--- a/crates/lab/tests/host.rs
+++ b/crates/lab/tests/host.rs
@@ -406,3 +406,40 @@
     assert!(reload().0);
     assert!((0..20).all(|i| write(&mut client, 50 + i, 8 * i, 8) == status::GOOD));
 }
+
+#[test]
+fn what_clients_ask_is_recorded_and_answers_are_held_against_it() {
+    let rig = Rig::new(50.0);
+    let file = rig.dir.path().join("conf").display().to_string();
+    let recorder = lab(&["demand", &file, "--every", "1", "--count", "2"]).stdout(Stdio::piped()).spawn();
+    let recorder = recorder.expect("a run");
+    let mut client = rig.client(0);
+    let began = Instant::now();
+    let mut id = 0;
+    while began.elapsed() < Duration::from_millis(2_500) {
+        id += 1;
+        assert_eq!(write(&mut client, id, 0, 8), status::GOOD);
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let out = recorder.wait_with_output().expect("it ends");
+    let record = String::from_utf8_lossy(&out.stdout).into_owned();
+    let asked = record
+        .lines()
+        .filter(|l| l.contains(" a asked "))
+        .filter_map(|l| l.split(' ').nth(4)?.trim_end_matches("/s").parse::<f64>().ok());
+    let asked: Vec<f64> = asked.collect();
+    assert!(asked.len() == 2 && asked.iter().all(|a| *a > 10.0), "{record}");
+    let put = |name: &str, text: &str| {
+        let path = rig.dir.path().join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.display().to_string()
+    };
+    let problem =
+        put("p", "node n\n  capacity 5/s\nnode m\n  capacity 1000/s\nvolume a\n  reserve 1/s\nvolume b\n");
+    let (worse, better) = (put("one", "place a n\nplace b m\n"), put("two", "place a m\nplace b n\n"));
+    let record = put("log", &record);
+    let out = lab(&["shares", "replay", &problem, &record, &worse, &better]).output().expect("a run");
+    let told = String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned();
+    let best: Vec<&str> = told.lines().skip(1).take(2).filter_map(|l| l.split_whitespace().last()).collect();
+    assert_eq!(best, ["0", "2"], "{told}");
+}
--- a/crates/shares/src/value.rs
+++ b/crates/shares/src/value.rs
@@ -129,10 +129,22 @@
     (0..p.nodes.len()).map(at).sum()
 }
 
+/// Gain of one moment in which volumes ask for these rates, in thousandths a second, with a placement and
+/// shares: what `gain` is for a surge of all.
+pub fn gain_of(p: &Problem, placement: &Placement, shares: &[(u64, u64)], asked: &[u64]) -> i128 {
+    let mut moment = p.clone();
+    for (v, ((reserve, weight), asked)) in moment.volumes.iter_mut().zip(shares.iter().zip(asked)) {
+        (v.reserve, v.weight, v.surge) = (*reserve, *weight, *asked);
+    }
+    gain(&moment, placement)
+}
+
 /// The part of it that one node gives the volumes that lie there.
 pub fn part_gain(p: &Problem, placement: &Placement, n: usize, here: &[usize]) -> i128 {
     let part = |v: usize, rate: u64| i128::from(rate) * SCALE / placement[v].len() as i128;
-    let reserves: i128 = here.iter().map(|v| part(*v, p.volumes[*v].reserve)).sum();
+    // A reserve that is not asked for is lent out.
+    let reserved = |v: usize| part(v, p.volumes[v].reserve.min(p.volumes[v].surge));
+    let reserves: i128 = here.iter().map(|v| reserved(*v)).sum();
     let capacity = i128::from(p.nodes[n].capacity) * SCALE;
     let spare = (capacity - reserves).max(0);
     let weights: i128 = here.iter().map(|v| i128::from(p.volumes[*v].weight)).sum();
@@ -140,7 +152,7 @@
     let mut rest = Vec::new();
     for v in here {
         let volume = &p.volumes[*v];
-        let (asked, inside) = (part(*v, volume.surge), part(*v, volume.reserve));
+        let (asked, inside) = (part(*v, volume.surge), reserved(*v));
         let price = i128::from(volume.price);
         gain += inside * RESERVE_GAIN * price;
         let share = spare * SHARE_PART * i128::from(volume.weight) / (SHARE_OF * weights.max(1));
