--- /dev/null
+++ b/crates/plans/src/member.rs
@@ -0,0 +1,267 @@
+//! A host that follows the control service: which version it acts on, and its parts of limits.
+use crate::lend::Share;
+use crate::state::State;
+use crate::trail::{BEGINNING, Trail};
+use crate::words::{ToControl, ToMember};
+use crate::{Millis, Units};
+use std::collections::BTreeMap;
+
+/// How long to wait before the service is tried again, at most; each try in vain doubles the wait. A hundred
+/// hosts that lose it at one stroke do not come back at one stroke: each waits a part of it by chance.
+pub const TRY_MOST: Millis = 5_000;
+const TRY_LEAST: Millis = 100;
+
+/// What a word asks of the program around.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Nothing,
+    /// Another state is to be taken up; `acts_on` or `against` follows.
+    State,
+    Say(ToControl),
+    /// What was said does not fit: the connection is given up, and the next one asks for everything.
+    Lost(String),
+}
+
+/// What a host uses of a volume, counted by the host: units a second that clients ask for, served or not.
+pub type Wanted = BTreeMap<String, Units>;
+
+pub struct Member {
+    host: String,
+    trail: Trail,
+    /// A newer state that the host has not said yes or no to.
+    next: Option<Trail>,
+    /// The host's own volumes, with the number of hosts of each.
+    volumes: BTreeMap<String, u32>,
+    shares: BTreeMap<String, Share>,
+    tries: u32,
+    connect_at: Millis,
+}
+
+impl Member {
+    /// Starts with what was kept on disk, if anything.
+    pub fn new(host: &str, volumes: BTreeMap<String, u32>, kept: Option<Trail>) -> Member {
+        let mut member = Member {
+            host: host.to_owned(),
+            trail: kept.unwrap_or_default(),
+            next: None,
+            volumes,
+            shares: BTreeMap::new(),
+            tries: 0,
+            connect_at: 0,
+        };
+        member.share_out();
+        member
+    }
+
+    pub fn state(&self) -> &State {
+        &self.trail.state
+    }
+
+    /// What is to be kept on disk: the state and the hash of its line.
+    pub fn trail(&self) -> &Trail {
+        &self.trail
+    }
+
+    /// The state that is to be taken up.
+    pub fn next(&self) -> Option<&State> {
+        self.next.as_ref().map(|n| &n.state)
+    }
+
+    pub fn hello(&self) -> ToControl {
+        let newest = self.next.as_ref().unwrap_or(&self.trail);
+        let (version, last) = (newest.state.version, newest.last().to_owned());
+        ToControl::Hello { host: self.host.clone(), version, last }
+    }
+
+    /// Takes a word. `wanted` is looked at for a question only.
+    pub fn heard(&mut self, word: ToMember, wanted: &Wanted, now: Millis) -> Heard {
+        self.tries = 0;
+        match word {
+            ToMember::Whole { state, last } => {
+                if state.version == 0 && last != BEGINNING {
+                    return Heard::Lost("a state without changes behind a line".into());
+                }
+                self.next = Some(Trail::from_base(*state, last));
+                Heard::State
+            }
+            ToMember::Line { text } => {
+                let mut newest = self.next.take().unwrap_or_else(|| self.trail.clone());
+                match newest.follow(&text) {
+                    Ok(_) => {
+                        self.next = Some(newest);
+                        Heard::State
+                    }
+                    Err(broken) => {
+                        // Asked for again, whole: the hash of nothing fits no line.
+                        self.trail = Trail::from_base(self.trail.state.clone(), String::new());
+                        Heard::Lost(broken.to_string())
+                    }
+                }
+            }
+            ToMember::Ask { asked } => {
+                let mut volumes = Vec::new();
+                for (name, share) in &mut self.shares {
+                    let wants = wanted.get(name).copied().unwrap_or(0);
+                    let lent = share.lend(share.spare(wants), now);
+                    volumes.push((name.clone(), lent, wants.saturating_sub(share.even())));
+                }
+                let version = self.trail.state.version;
+                Heard::Say(ToControl::Report { asked, sent: now, version, volumes })
+            }
+            ToMember::Granted { sent, span, volumes } => {
+                for (name, amount) in volumes {
+                    if let Some(share) = self.shares.get_mut(&name) {
+                        share.granted(amount, sent, span, now);
+                    }
+                }
+                Heard::Nothing
+            }
+        }
+    }
+
+    /// The host acts on the next state from now on.
+    pub fn acts_on(&mut self) -> Option<ToControl> {
+        self.trail = self.next.take()?;
+        self.share_out();
+        Some(ToControl::ActsOn { version: self.trail.state.version })
+    }
+
+    /// The host cannot act on the next state. It stays in hand: a line behind it may mend it.
+    pub fn against(&mut self, why: String) -> Option<ToControl> {
+        let version = self.next.as_ref()?.state.version;
+        Some(ToControl::Against { version, why })
+    }
+
+    fn share_out(&mut self) {
+        for (name, hosts) in &self.volumes {
+            match self.trail.state.plan_of(name).filter(|p| p.limit > 0) {
+                Some(plan) => match self.shares.get_mut(name) {
+                    Some(share) => share.limit(plan.limit, *hosts),
+                    None => drop(self.shares.insert(name.clone(), Share::new(plan.limit, *hosts))),
+                },
+                None => drop(self.shares.remove(name)),
+            }
+        }
+    }
+
+    /// The part of each limited volume's limit that this host may use now.
+    pub fn parts(&self, now: Millis) -> impl Iterator<Item = (&str, Units)> {
+        self.shares.iter().map(move |(name, share)| (name.as_str(), share.part(now)))
+    }
+
+    /// Whether the service is to be tried now; `chance` between 0 and 1000 spreads hosts.
+    pub fn connects(&mut self, now: Millis, chance: u64) -> bool {
+        if now < self.connect_at {
+            return false;
+        }
+        let wait = (TRY_LEAST << self.tries.min(10)).min(TRY_MOST);
+        self.tries = (self.tries + 1).min(10);
+        self.connect_at = now + wait / 2 + wait / 2 * chance.min(1_000) / 1_000;
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::{Change, Plan};
+
+    fn service() -> Trail {
+        let mut trail = Trail::default();
+        let figures = Plan { limit: 900, burst: 10, ..Plan::default() };
+        for change in [
+            Change::Plan { name: "basic".into(), figures },
+            Change::Volume { name: "water".into(), plan: "basic".into() },
+        ] {
+            let version = trail.state.version;
+            let line = trail.propose(version, "a", "b", 0, change).expect("fits");
+            trail.follow(&line).expect("follows");
+        }
+        trail
+    }
+
+    fn member() -> (Trail, Member) {
+        let trail = service();
+        let mut member = Member::new("h", [("water".to_owned(), 3)].into(), None);
+        let whole = ToMember::Whole { state: Box::new(trail.state.clone()), last: trail.last().to_owned() };
+        assert_eq!(member.heard(whole, &Wanted::new(), 0), Heard::State);
+        assert_eq!(member.acts_on(), Some(ToControl::ActsOn { version: 2 }));
+        (trail, member)
+    }
+
+    fn lower(trail: &mut Trail, limit: Units) -> ToMember {
+        let change =
+            Change::Plan { name: "basic".into(), figures: Plan { limit, burst: 10, ..Plan::default() } };
+        let text = trail.propose(trail.state.version, "a", "b", 0, change).expect("fits");
+        trail.follow(&text).expect("follows");
+        ToMember::Line { text }
+    }
+
+    fn parts(member: &Member, now: Millis) -> Vec<Units> {
+        member.parts(now).map(|p| p.1).collect()
+    }
+
+    #[test]
+    fn a_version_counts_once_the_host_has_taken_it_up() {
+        let (mut trail, mut member) = member();
+        assert_eq!(parts(&member, 0), [300]);
+        assert_eq!(member.heard(lower(&mut trail, 600), &Wanted::new(), 0), Heard::State);
+        assert_eq!(parts(&member, 0), [300]);
+        member.acts_on();
+        assert_eq!((parts(&member, 0), member.state()), (vec![200], &trail.state));
+    }
+
+    #[test]
+    fn a_version_that_is_turned_down_is_mended_by_a_later_one() {
+        let (mut trail, mut member) = member();
+        member.heard(lower(&mut trail, 600), &Wanted::new(), 0);
+        assert_eq!(member.against("no".into()), Some(ToControl::Against { version: 3, why: "no".into() }));
+        assert_eq!(parts(&member, 0), [300]);
+        member.heard(lower(&mut trail, 750), &Wanted::new(), 0);
+        assert_eq!(member.acts_on(), Some(ToControl::ActsOn { version: 4 }));
+        assert_eq!(parts(&member, 0), [250]);
+    }
+
+    #[test]
+    fn a_line_that_does_not_follow_asks_for_everything_and_changes_nothing() {
+        let (mut trail, mut member) = member();
+        lower(&mut trail, 600);
+        let skipped = lower(&mut trail, 500);
+        assert!(matches!(member.heard(skipped, &Wanted::new(), 0), Heard::Lost(_)));
+        assert_eq!(parts(&member, 0), [300]);
+        let ToControl::Hello { last, .. } = member.hello() else { panic!("it opens with hello") };
+        assert!(last.is_empty());
+    }
+
+    #[test]
+    fn what_is_lent_is_not_used_from_before_the_answer_is_sent() {
+        let (_, mut member) = member();
+        let Heard::Say(ToControl::Report { volumes, .. }) =
+            member.heard(ToMember::Ask { asked: 7 }, &Wanted::new(), 100)
+        else {
+            panic!("it answers")
+        };
+        assert_eq!(volumes, [("water".to_owned(), 225, 0)]);
+        assert_eq!(parts(&member, 100), [75]);
+        let wanted = [("water".to_owned(), 800)].into();
+        let Heard::Say(ToControl::Report { volumes, .. }) =
+            member.heard(ToMember::Ask { asked: 9 }, &wanted, 200)
+        else {
+            panic!("it answers")
+        };
+        assert_eq!(volumes, [("water".to_owned(), 0, 500)]);
+        let grant = ToMember::Granted { sent: 200, span: 1_500, volumes: vec![("water".into(), 400)] };
+        member.heard(grant, &wanted, 300);
+        assert_eq!(parts(&member, 300), [475]);
+    }
+
+    #[test]
+    fn a_service_that_is_away_is_tried_ever_later_and_not_by_all_at_once() {
+        let mut member = Member::new("h", BTreeMap::new(), None);
+        let tries: Vec<Millis> = (0..30_000).filter(|now| member.connects(*now, 0)).collect();
+        assert!((10..30).contains(&tries.len()), "{tries:?}");
+        let mut other = Member::new("i", BTreeMap::new(), None);
+        let others: Vec<Millis> = (0..30_000).filter(|now| other.connects(*now, 1_000)).collect();
+        assert_ne!(tries.last(), others.last());
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -97,6 +97,7 @@
     short: Tick,
     told: f64,
     others: Option<f64>,
+    part: Option<f64>,
 }
 
 /// One volume at one node: the design's allocation.
@@ -199,11 +200,16 @@
 }
 
 impl Volume {
+    /// This host's part of the limit: the even one where none is dealt.
+    fn limit(&self, plan: &Plan) -> f64 {
+        self.part.unwrap_or(plan.limit / self.hosts)
+    }
+
     /// Lets the parts that fall to one host fill up: of the limit, and of the reserve with a second of it.
     fn fill(&mut self, now: Tick, plan: &Plan, largest: f64) {
         let span = (now - self.filled) as f64;
         self.filled = now;
-        self.store = (self.store + span * plan.limit / self.hosts).min(plan.burst / self.hosts);
+        self.store = (self.store + span * self.limit(plan)).min(plan.burst / self.hosts);
         let most = plan.reserve * SECOND + largest;
         self.reserve = (self.reserve + span * plan.reserve).min(most);
     }
@@ -233,6 +239,7 @@
     born: Tick,
     nodes: Slab<Node>,
     volumes: Slab<Volume>,
+    parts: Slab<f64>,
     keys: Slab<Key>,
     resting: Vec<KeyId>,
     slots: Slab<Slot>,
@@ -355,6 +362,20 @@
         self.sleep(host, now);
     }
 
+    /// This host's part of a volume's limit from now on, in units a second; none: the even part.
+    pub fn parted(&mut self, now: Tick, id: VolId, part: Option<f64>) {
+        let part = part.map(|p| p / SECOND);
+        match part {
+            Some(part) => *self.parts.enter(id.0, || part) = part,
+            None if self.parts.get(id.0).is_some() => self.parts.remove(id.0),
+            None => {}
+        }
+        if let Some(vol) = self.volumes.get_mut(id.0) {
+            vol.fill(now, &self.plans[vol.plan], self.largest);
+            vol.part = part;
+        }
+    }
+
     /// Plans as they stand from now on, and volumes that have another one. What a volume has saved up under the
     /// old figures stays its own, cut to the new ones at once: a limit that falls holds from this moment on, and
     /// one that rises is filled from here. Bases and ceilings follow with the next window.
@@ -387,7 +408,9 @@
         let ordered = group.ordered;
         let hosts = f64::from(bio.hosts.clamp(1, self.hosts));
         // A store opens empty when this host starts: a host that came back may have spent its part before.
-        let empty = || Volume { plan: bio.plan as usize, hosts, filled: self.born, ..Volume::default() };
+        let part = self.parts.get(bio.vol.0).copied();
+        let empty =
+            || Volume { plan: bio.plan as usize, hosts, filled: self.born, part, ..Volume::default() };
         let vol = self.volumes.enter(bio.vol.0, empty);
         vol.fill(now, plan, self.largest);
         // The parts add up only if none is ever larger than the smallest that was due.
@@ -630,7 +653,7 @@
             let vol = &self.volumes[s.vol.0];
             let plan = &self.plans[vol.plan];
             // The limit less what others are told to use; the even part before they are, and at least.
-            let even = plan.limit / vol.hosts;
+            let even = vol.limit(plan);
             let rate = vol.others.map_or(even, |o| (plan.limit - o).max(even));
             let ceiling = rate * WINDOW as f64 + plan.burst / vol.hosts;
             (plan.reserve * WINDOW as f64 / vol.hosts, ceiling, plan.wt)
--- a/crates/scheduler/tests/fake/mod.rs
+++ b/crates/scheduler/tests/fake/mod.rs
@@ -146,6 +146,10 @@
         self.scheduler.planned(self.log.now, plans, of);
     }
 
+    pub fn parted(&mut self, vol: VolId, part: Option<f64>) {
+        self.scheduler.parted(self.log.now, vol, part);
+    }
+
     pub fn gone(&mut self, id: u32) {
         let now = self.log.now;
         self.scheduler.gone(&mut self.log, now, BioId(id));
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -224,6 +224,29 @@
     assert_eq!(s.sent().len() - sent, sends);
 }
 
+#[test_case(None, 20; "the even part")]
+#[test_case(Some(2.0), 8; "a smaller part than the even one")]
+#[test_case(Some(10.0), 40; "all of the limit")]
+fn a_part_that_is_dealt_to_a_host_counts_from_that_moment_on(part: Option<f64>, units: usize) {
+    let mut s = Story::new(&Terms { hosts: 2, ..terms() });
+    s.take(Bio { units: 0.1, ..limited(&s, 0) });
+    s.parted(VolId(5), part);
+    let before = s.sent().len();
+    let mut ended = 0;
+    // Twenty units a second are asked for, during four seconds.
+    for id in 10..90 {
+        s.take(Bio { units: 1.0, ..limited(&s, id) });
+        s.pass(500);
+        for sent in s.sent().split_off(ended) {
+            s.end(sent, 0, Ending::Done, 200);
+            ended += 1;
+        }
+    }
+    // Beside what comes in by the part, what had been saved up: eight units at most.
+    let sent = s.sent().len() - before;
+    assert!((units.saturating_sub(2)..=units + 9).contains(&sent), "{sent} for {units}");
+}
+
 #[test]
 fn a_volume_that_gets_another_plan_is_served_by_it_at_once() {
     let mut t = terms();
