--- a/crates/trail/tests/trails.rs
+++ b/crates/trail/tests/trails.rs
@@ -2,12 +2,15 @@
 use mallowseam_plans::state::{Change, Plan};
 use mallowseam_plans::trail::Trail;
 use mallowseam_trail::{EVERY, Store};
-use redb::{ReadableDatabase, ReadableTable};
+use redb::ReadableDatabase;
 use std::sync::{Arc, Mutex};
 
-/// A file in memory that keeps what it held after each call.
+/// Where a write went, and what it wrote.
+type Write = (u64, Vec<u8>);
+
+/// A file in memory that keeps every write made on it.
 #[derive(Clone, Debug, Default)]
-struct Tape(Arc<Mutex<(Vec<u8>, Vec<(u64, Vec<u8>)>)>>);
+struct Tape(Arc<Mutex<(Vec<u8>, Vec<Write>)>>);
 
 impl redb::StorageBackend for Tape {
     fn len(&self) -> Result<u64, std::io::Error> {
