mallowseam control: plans in versions, streamed to hosts, with limits' parts dealt to those who want them

Plans reached hosts only by files copied by hand, and each host kept an even part of every limit.

mallowseam control keeps the trail and streams it: a host says which line it has and gets those it lacks, or the whole state; it acts on a version or turns it down with the reason, keeps the last good one on disk for a start without the service, and tries a service that is away ever later, spread by chance. Every half second it is asked what it lends and wants; grants go back with the answer. mallowseam plan set, of, drop, show, history, diff, undo, hosts, gone, replay: with author, reason, expected version, dry run, and a wait for in force at all hosts that ends with what it waits for. Hosts follow by follow ADDRESS and kept-plans PATH; without them nothing is different.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -8,8 +8,8 @@
 use std::process::ExitCode;
 
 /// Exit codes: 0 done, 1 could not be done, 2 a bad command line (clap's own) or file.
-const FAILED: u8 = 1;
-const BAD_FILE: u8 = 2;
+pub(crate) const FAILED: u8 = 1;
+pub(crate) const BAD_FILE: u8 = 2;
 /// Worked-out shares: proven that nothing fits.
 const IMPOSSIBLE: u8 = 3;
 
@@ -45,6 +45,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run the control service of plans in the foreground until SIGTERM or SIGINT
+    Control {
+        /// A configuration file with a section `tariffs`
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "info")]
+        log: Level,
+        /// Log lines as JSON objects
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plans at the control service: in versions, with who changed what and why
+    Plan {
+        #[command(subcommand)]
+        what: PlanWhat,
+    },
     /// Work out ahead of time which nodes volumes lie on
     Shares {
         #[command(subcommand)]
@@ -150,6 +165,78 @@
     },
 }
 
+/// Who changes a plan, and how.
+#[derive(clap::Args)]
+pub(crate) struct By {
+    #[arg(long)]
+    pub author: String,
+    #[arg(long)]
+    pub reason: String,
+    /// Tell what would come of it, and change nothing
+    #[arg(long)]
+    pub dry_run: bool,
+    /// Wait until it is in force at all hosts, or say what it waits for
+    #[arg(long)]
+    pub wait: bool,
+}
+
+#[derive(Subcommand)]
+pub(crate) enum PlanWhat {
+    /// Set figures of a plan (a new one starts from nothing); rates such as limit=40
+    Set {
+        file: PathBuf,
+        plan: String,
+        /// usual, reserve, limit, burst, weight or price, as NAME=NUMBER
+        #[arg(required = true)]
+        figures: Vec<String>,
+        /// The version it is made for: refused if another one stands
+        #[arg(long)]
+        expected: Option<u64>,
+        #[command(flatten)]
+        by: By,
+    },
+    /// Give a volume another plan
+    Of {
+        file: PathBuf,
+        volume: String,
+        plan: String,
+        #[command(flatten)]
+        by: By,
+    },
+    /// Drop a plan that no volume has
+    Drop {
+        file: PathBuf,
+        plan: String,
+        #[command(flatten)]
+        by: By,
+    },
+    /// Plans and volumes as they stand, or stood at a version
+    Show { file: PathBuf, version: Option<u64> },
+    /// Lines of the trail
+    History {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 1000)]
+        most: usize,
+    },
+    /// What is different between two versions
+    Diff { file: PathBuf, one: u64, other: u64 },
+    /// Take a version's change back, as a new version
+    Undo {
+        file: PathBuf,
+        version: u64,
+        #[command(flatten)]
+        by: By,
+    },
+    /// Which version is in force at all hosts, and what the newest one waits for
+    Hosts { file: PathBuf },
+    /// A host has stopped for good: no version waits for it any more
+    Gone { file: PathBuf, host: String },
+    /// Replay the whole trail from nothing and hold it against what stands
+    Replay { file: PathBuf },
+}
+
 #[derive(Subcommand)]
 enum Snapshot {
     /// Take one: VOLUME@NAME holds every write acknowledged before, none begun after
@@ -219,6 +306,11 @@
             load(&file)
                 .and_then(|site| crate::catalog::run(site, die_at).map_err(|e| (FAILED, e.to_string())))
         }
+        What::Control { file, log, json } => {
+            start_log(log, json);
+            load(&file).and_then(|site| crate::tariffs::run(&site).map_err(|e| (FAILED, e.to_string())))
+        }
+        What::Plan { what } => crate::plan_cli::run(what).map(|text| println!("{text}")),
         What::Shares { what } => {
             let ended = match what {
                 Shares::WorkOut { file, seconds, seed } => {
@@ -335,7 +427,7 @@
     }
 }
 
-fn load(file: &Path) -> Result<Site, (u8, String)> {
+pub(crate) fn load(file: &Path) -> Result<Site, (u8, String)> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| (BAD_FILE, format!("{name}: {e}")))?;
     mallowseam_settings::read(&name, &text).map_err(|problems| (BAD_FILE, problems.to_string()))
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 };
 use crate::desk::Desk;
 use crate::figures::VolumeFigures;
+use crate::follow::Follow;
 use crate::list::List;
 use crate::map::Map;
 use crate::nodes::Nodes;
@@ -14,7 +15,8 @@
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::target::TargetTerms;
-use mallowseam_scheduler::host::{NodeId, NodeState, Tick};
+use mallowseam_plans::member::Wanted;
+use mallowseam_scheduler::host::{NodeId, NodeState, Tick, VolId};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_settings::{Site, change};
 use mio::net::{TcpListener, UnixStream};
@@ -30,7 +32,10 @@
 const LIST: Token = Token(2);
 const SIGNALS: Token = Token(3);
 const MAP: Token = Token(4);
-const CALLERS: usize = 5;
+const FOLLOW: Token = Token(5);
+/// Ticks between two counts of what clients ask.
+const COUNT: Tick = 2_500;
+const CALLERS: usize = 6;
 const NODES: usize = CALLERS + control::MOST;
 /// Bytes read from a socket in one go; each ready socket has its turn.
 const SCRATCH: usize = 128 * 1024;
@@ -72,6 +77,10 @@
     scheduler: Scheduler,
     desk: Desk,
     list: List,
+    follow: Option<Follow>,
+    /// What clients asked of each volume in the last span, a second; and the counts it began with.
+    wanted: Wanted,
+    counted: (Tick, Vec<f64>),
     listener: TcpListener,
     accepting: bool,
     control: Option<Control>,
@@ -143,6 +152,14 @@
             _ => None,
         };
         let list = List::new(&site.host, &site.nodes, registry()?, LIST);
+        let follow = match site.host.follow {
+            Some(address) => {
+                let volumes = site.volumes.iter().map(|v| (v.name.clone(), v.hosts)).collect();
+                let kept = site.host.kept_plans.clone();
+                Some(Follow::new(&site.host.name, address, kept, volumes, registry()?, FOLLOW))
+            }
+            None => None,
+        };
         let seed = site.host.seed.unwrap_or_else(|| rand::rng().next_u64());
         let clock = Clock::start();
         tracing::info!(host = site.host.name, listen = %bound, seed, "host starts");
@@ -150,6 +167,9 @@
             scheduler: Scheduler::new(&terms::terms(&site), seed, clock.now()),
             desk: Desk::new(&site, clients, nodes, map),
             list,
+            follow,
+            wanted: Wanted::new(),
+            counted: (0, vec![0.0; site.volumes.len()]),
             listener,
             accepting: false,
             control,
@@ -167,6 +187,13 @@
         self.desk.now = self.clock.now();
         self.list.start(self.desk.now);
         self.hear_list();
+        // Plans that were kept count until the service says otherwise.
+        let kept = self.follow.as_ref().map(|f| f.member.state()).filter(|s| s.version > 0);
+        match kept.map(|state| self.of_state(state)) {
+            Some(Ok(taken)) => self.put(taken),
+            Some(Err(why)) => tracing::warn!(why, "kept plans are not used"),
+            None => {}
+        }
         // The first wake-up: the scheduler asks for the list and its windows from here on.
         self.scheduler.woken(&mut self.desk, self.clock.now());
         self.round();
@@ -207,6 +234,13 @@
                 }
                 self.desk.settle(&mut self.scheduler);
             }
+            FOLLOW => {
+                if let Some(follow) = &mut self.follow
+                    && follow.ready(&mut self.scratch, &self.wanted, millis(now))
+                {
+                    self.take_up_next();
+                }
+            }
             LIST => self.list.ready(readable, &mut self.scratch, now),
             SIGNALS => {
                 let mut bytes = [0; 16];
@@ -305,6 +339,7 @@
             self.hear_list();
             self.desk.settle(&mut self.scheduler);
         }
+        self.tend_follow();
         if let Some(map) = &mut self.desk.map {
             map.tend(millis(self.desk.now));
         }
@@ -335,6 +370,82 @@
         }
     }
 
+    /// Counts what clients ask, and has the scheduler keep to the parts of limits that are this host's now.
+    fn tend_follow(&mut self) {
+        let Some(follow) = &mut self.follow else { return };
+        let now = self.desk.now;
+        if now >= self.counted.0 + COUNT {
+            let span = (now - self.counted.0) as f64 / 10_000.0;
+            let figures = self.desk.figures.volumes.iter().zip(&mut self.counted.1);
+            for (v, (f, before)) in self.site.volumes.iter().zip(figures) {
+                let rate = ((f.asked - *before) / span * 1000.0) as u64;
+                *before = f.asked;
+                self.wanted.insert(v.name.clone(), rate);
+            }
+            self.counted.0 = now;
+            follow.tend(millis(now), rand::rng().next_u64() % 1_000);
+        }
+        for (name, part) in follow.member.parts(millis(now)) {
+            if let Some(at) = self.site.volumes.iter().position(|v| v.name == name) {
+                self.scheduler.parted(now, VolId(at as u32), Some(part as f64 / 1000.0));
+            }
+        }
+    }
+
+    /// Takes up the state that the control service has sent, or says why not.
+    fn take_up_next(&mut self) {
+        let Some(follow) = &self.follow else { return };
+        let Some(state) = follow.member.next() else { return };
+        let taken = self.of_state(state);
+        match taken {
+            Ok(taken) => {
+                self.put(taken);
+                if let Some(follow) = &mut self.follow {
+                    follow.acts_on();
+                }
+                // What has no limit any more has no part of one.
+                let parted: Vec<String> = self
+                    .follow
+                    .iter()
+                    .flat_map(|f| f.member.parts(millis(self.desk.now)).map(|p| p.0.to_owned()))
+                    .collect();
+                for (at, v) in self.site.volumes.iter().enumerate() {
+                    if !parted.contains(&v.name) {
+                        self.scheduler.parted(self.desk.now, VolId(at as u32), None);
+                    }
+                }
+                self.tend_follow();
+            }
+            Err(why) => {
+                if let Some(follow) = &mut self.follow {
+                    follow.against(&why);
+                }
+            }
+        }
+    }
+
+    /// What is to be taken up of a state of plans. Error: a volume of this host that has no plan in it.
+    fn of_state(&self, state: &mallowseam_plans::state::State) -> Result<change::Taken, String> {
+        let mut wanted = self.site.clone();
+        wanted.plans = state.plans.iter().map(|(name, p)| terms::from_figures(name, p)).collect();
+        for v in &mut wanted.volumes {
+            let plan = state.volumes.get(&v.name);
+            let at = plan.and_then(|name| wanted.plans.iter().position(|p| p.name == *name));
+            v.plan = at.ok_or_else(|| format!("volume {} has no plan", v.name))?;
+        }
+        change::taken(&self.site, &wanted).map_err(|against| against.join("; "))
+    }
+
+    fn put(&mut self, taken: change::Taken) {
+        self.site.plans = taken.plans;
+        for (volume, plan) in self.site.volumes.iter_mut().zip(&taken.of) {
+            volume.plan = *plan;
+        }
+        let changed = self.desk.planned(&taken.of);
+        self.scheduler.planned(self.desk.now, &terms::plans(&self.site), &changed);
+        taken.told.iter().for_each(|what| tracing::info!(what, "plans taken up"));
+    }
+
     fn hear_list(&mut self) {
         while let Some((form, listed)) = self.list.news() {
             for l in &listed {
@@ -379,20 +490,18 @@
 
     /// Takes up the plans of a configuration that differs from the running one in nothing else.
     fn take_up(&mut self, file: &str) -> Result<String, String> {
+        if self.follow.is_some() {
+            return Err("plans come from the control service: see `mallowseam plan`".into());
+        }
         let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
         let wanted = mallowseam_settings::read(file, &text).map_err(|problems| problems.to_string())?;
         let taken = change::taken(&self.site, &wanted).map_err(|against| against.join("\n"))?;
         if taken.told.is_empty() {
             return Ok("nothing is different".into());
         }
-        self.site.plans = taken.plans;
-        for (volume, plan) in self.site.volumes.iter_mut().zip(&taken.of) {
-            volume.plan = *plan;
-        }
-        let changed = self.desk.planned(&taken.of);
-        self.scheduler.planned(self.desk.now, &terms::plans(&self.site), &changed);
-        taken.told.iter().for_each(|what| tracing::info!(what, "plans taken up"));
-        Ok(taken.told.join("\n"))
+        let told = taken.told.join("\n");
+        self.put(taken);
+        Ok(told)
     }
 
     fn status(&self) -> Status {
--- /dev/null
+++ b/crates/gateway/src/tariffs.rs
@@ -0,0 +1,502 @@
+//! The control service of plans: keeps the trail, streams versions to hosts, deals what they lend.
+use crate::clock::{Clock, millis};
+use crate::control::{self, Control};
+use crate::run::{Failure, failure, signals};
+use crate::slots::Slots;
+use crate::terms;
+use crate::wire::{self, Tried};
+use mallowseam_plans::deal::{ASK, GRANT, Pool};
+use mallowseam_plans::force::{Hosts, Waits};
+use mallowseam_plans::state::{Change, Plan, State};
+use mallowseam_plans::trail::Line;
+use mallowseam_plans::words::{ToControl, ToMember};
+use mallowseam_plans::{Millis, Units};
+use mallowseam_settings::Site;
+use mallowseam_trail::Store;
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read};
+use std::time::Duration;
+
+const LISTENER: Token = Token(0);
+const CONTROL: Token = Token(1);
+const SIGNALS: Token = Token(2);
+const CALLERS: usize = 3;
+const MEMBERS: usize = CALLERS + control::MOST;
+/// Longest line of a host, and bytes that may wait for one: a host that takes nothing is dropped.
+const LINE_MOST: usize = 1 << 20;
+const WAITING_MOST: usize = 32 << 20;
+/// Lines sent to a host that comes back, at most; one that lacks more gets the whole state.
+const CATCH_UP: u64 = 256;
+/// Milliseconds between two looks at what is due.
+const LOOK: u64 = 50;
+/// An operator waits for a version to be in force for no longer.
+const WAIT_MOST: Millis = 12_000;
+
+struct Peer {
+    socket: TcpStream,
+    name: String,
+    /// Its place among those that lend and borrow, the same over all its connections.
+    number: u32,
+    partial: Vec<u8>,
+    out: Vec<u8>,
+}
+
+impl Peer {
+    fn say(&mut self, word: &ToMember) {
+        serde_json::to_writer(&mut self.out, word).expect("words are plain");
+        self.out.push(b'\n');
+    }
+}
+
+struct Service {
+    clock: Clock,
+    now: Millis,
+    store: Store,
+    hosts: Hosts,
+    numbers: BTreeMap<String, u32>,
+    pools: BTreeMap<String, Pool>,
+    started: Millis,
+    fresh: bool,
+    peers: Slots<Peer>,
+    listener: TcpListener,
+    control: Option<Control>,
+    signals: UnixStream,
+    registry: Registry,
+    waits: Vec<(u32, u64, Millis)>,
+    asked: Millis,
+    stops: bool,
+    scratch: Vec<u8>,
+}
+
+/// Runs the control service of a site until it is told to stop.
+pub fn run(site: &Site) -> Result<(), Failure> {
+    let mut poll = Poll::new().map_err(failure("poll".into()))?;
+    let mut service = Service::open(site, &poll)?;
+    let mut events = Events::with_capacity(256);
+    while !service.stops {
+        if let Err(e) = poll.poll(&mut events, Some(Duration::from_millis(LOOK)))
+            && e.kind() != ErrorKind::Interrupted
+        {
+            return Err(Failure::new(format!("poll: {e}")));
+        }
+        service.now = millis(service.clock.now());
+        for event in events.iter() {
+            service.ready(event.token())?;
+        }
+        service.round();
+    }
+    tracing::info!("control service ends");
+    Ok(())
+}
+
+impl Service {
+    fn open(site: &Site, poll: &Poll) -> Result<Self, Failure> {
+        let settings = site.tariffs.clone().ok_or_else(|| Failure::new("no section tariffs".into()))?;
+        let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
+        let address = settings.listen.expect("checked");
+        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
+        poll.registry()
+            .register(&mut listener, LISTENER, Interest::READABLE)
+            .map_err(failure("poll".into()))?;
+        let control = match &settings.control {
+            Some(path) => Some(
+                Control::open(path, registry()?, CONTROL, CALLERS)
+                    .map_err(failure(format!("control {}", path.display())))?,
+            ),
+            None => None,
+        };
+        let said = |e: mallowseam_trail::Fault| Failure::new(format!("{}: {e}", settings.store.display()));
+        let mut store = Store::open(&settings.store).map_err(said)?;
+        let fresh = store.trail().state.version == 0;
+        if fresh {
+            // The first versions are what the configuration says.
+            let plans = site
+                .plans
+                .iter()
+                .map(|p| Change::Plan { name: p.name.clone(), figures: terms::to_figures(p) });
+            let of = |v: &mallowseam_settings::site::Volume| Change::Volume {
+                name: v.name.clone(),
+                plan: site.plans[v.plan].name.clone(),
+            };
+            for change in plans.chain(site.volumes.iter().map(of)) {
+                let version = store.trail().state.version;
+                let line = store.trail().propose(version, "configuration", "first start", wall(), change);
+                let line = line.map_err(|r| Failure::new(r.to_string()))?;
+                store.keep(&line).map_err(said)?;
+            }
+        }
+        let clock = Clock::start();
+        let now = millis(clock.now());
+        tracing::info!(listen = %address, version = store.trail().state.version, "control service starts");
+        Ok(Service {
+            now,
+            store,
+            hosts: Hosts::default(),
+            numbers: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            started: now,
+            fresh,
+            peers: Slots::default(),
+            listener,
+            control,
+            signals: signals(poll, SIGNALS).map_err(failure("signals".into()))?,
+            registry: registry()?,
+            waits: Vec::new(),
+            asked: now,
+            stops: false,
+            scratch: vec![0; 64 * 1024],
+            clock,
+        })
+    }
+
+    fn version(&self) -> u64 {
+        self.store.trail().state.version
+    }
+
+    fn ready(&mut self, token: Token) -> Result<(), Failure> {
+        match token {
+            LISTENER => self.accept(),
+            CONTROL => {
+                if let Some(control) = &mut self.control {
+                    control.accept();
+                }
+            }
+            SIGNALS => {
+                let mut bytes = [0; 16];
+                self.stops |= matches!(self.signals.read(&mut bytes), Ok(n) if n > 0);
+            }
+            Token(t) if t < MEMBERS => {
+                let at = (t - CALLERS) as u32;
+                if let Some(line) = self.control.as_mut().and_then(|c| c.ready(at)) {
+                    let answer = self.told(at, &line)?;
+                    if let (Some(text), Some(control)) = (answer, &mut self.control) {
+                        control.answer(at, &text);
+                    }
+                }
+            }
+            Token(t) => self.read((t - MEMBERS) as u32),
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self) {
+        while let Ok((mut socket, peer)) = self.listener.accept() {
+            let _ = socket.set_nodelay(true);
+            let token = Token(MEMBERS + self.peers.next() as usize);
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if self.registry.register(&mut socket, token, interest).is_ok() {
+                tracing::info!(%peer, "host connected");
+                let (name, partial, out) = Default::default();
+                self.peers.put(Peer { socket, name, number: u32::MAX, partial, out });
+            }
+        }
+    }
+
+    fn drop_peer(&mut self, at: u32, why: &str) {
+        if let Some(mut peer) = self.peers.take(at) {
+            let _ = self.registry.deregister(&mut peer.socket);
+            tracing::info!(host = peer.name, why, "host connection closed");
+        }
+    }
+
+    fn read(&mut self, at: u32) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(peer) = self.peers.get_mut(at) {
+            match wire::read(&mut peer.socket, &mut scratch) {
+                Tried::Blocked => break,
+                Tried::Read(n) => {
+                    let mut rest = &scratch[..n];
+                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+                        let Some(peer) = self.peers.get_mut(at) else { break };
+                        peer.partial.extend_from_slice(&rest[..end]);
+                        rest = &rest[end + 1..];
+                        let line = std::mem::take(&mut peer.partial);
+                        match serde_json::from_slice(&line) {
+                            Ok(word) => self.heard(at, word),
+                            Err(e) => self.drop_peer(at, &e.to_string()),
+                        }
+                    }
+                    if let Some(peer) = self.peers.get_mut(at) {
+                        peer.partial.extend_from_slice(rest);
+                        if peer.partial.len() > LINE_MOST {
+                            self.drop_peer(at, "a line past 1 MiB");
+                        }
+                    }
+                }
+                Tried::Over(why) => self.drop_peer(at, &why),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    fn heard(&mut self, at: u32, word: ToControl) {
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(at) else { return };
+        if let ToControl::Hello { host, version, last } = word {
+            let next = self.numbers.len() as u32;
+            peer.number = *self.numbers.entry(host.clone()).or_insert(next);
+            peer.name.clone_from(&host);
+            self.hosts.joined(&host, now);
+            self.hosts.acts_on(&host, version, now);
+            return self.catch_up(at, version, &last);
+        }
+        if peer.name.is_empty() {
+            return self.drop_peer(at, "expected hello first");
+        }
+        let (host, number) = (peer.name.clone(), peer.number);
+        match word {
+            ToControl::Hello { .. } => {}
+            ToControl::ActsOn { version } => {
+                tracing::info!(host, version, "acts on");
+                self.hosts.acts_on(&host, version, now);
+            }
+            ToControl::Against { version, why } => {
+                tracing::warn!(host, version, why, "turned down");
+                self.hosts.against(&host, version, &why, now);
+            }
+            ToControl::Report { asked, sent, version: _, volumes } => {
+                self.hosts.heard(&host, now);
+                let mut granted: Vec<(String, Units)> = Vec::new();
+                for (volume, lent, wants) in volumes {
+                    // Pools only for what there is: a host cannot make this service grow without bound.
+                    if !self.store.trail().state.volumes.contains_key(&volume) {
+                        continue;
+                    }
+                    let fresh = self.fresh;
+                    let pool =
+                        self.pools.entry(volume.clone()).or_insert_with(|| Pool::new(self.started, fresh));
+                    pool.heard(number, asked, lent, wants, now);
+                    let amount = pool.grant(number, now);
+                    if amount > 0 {
+                        granted.push((volume, amount));
+                    }
+                }
+                if let Some(peer) = self.peers.get_mut(at).filter(|_| !granted.is_empty()) {
+                    peer.say(&ToMember::Granted { sent, span: GRANT, volumes: granted });
+                }
+            }
+        }
+    }
+
+    /// Sends a host that has come what it lacks: lines where its last one is ours, else the whole state.
+    fn catch_up(&mut self, at: u32, version: u64, last: &str) {
+        let newest = self.version();
+        let lacks = newest.checked_sub(version).filter(|n| *n <= CATCH_UP);
+        let ours = lacks.is_some()
+            && self.store.at(version).ok().flatten().is_some_and(|trail| trail.last() == last);
+        let lines = if ours { self.store.lines(version + 1, CATCH_UP as usize).ok() } else { None };
+        let (state, last) = (self.store.trail().state.clone(), self.store.trail().last().to_owned());
+        let Some(peer) = self.peers.get_mut(at) else { return };
+        match lines {
+            Some(lines) => lines.into_iter().for_each(|text| peer.say(&ToMember::Line { text })),
+            None => peer.say(&ToMember::Whole { state: Box::new(state), last }),
+        }
+    }
+
+    fn round(&mut self) {
+        if self.now >= self.asked + ASK {
+            self.asked = self.now;
+            for at in self.peers.indices() {
+                if let Some(peer) = self.peers.get_mut(at).filter(|p| !p.name.is_empty()) {
+                    peer.say(&ToMember::Ask { asked: self.now });
+                }
+            }
+        }
+        for (caller, version, until) in std::mem::take(&mut self.waits) {
+            let waits = self.hosts.waits(version, self.now);
+            let text = if waits.is_empty() {
+                format!("version {version} in force at all hosts")
+            } else if self.now >= until {
+                format!("error: version {version} stands, and is not in force everywhere: {}", tell(&waits))
+            } else {
+                self.waits.push((caller, version, until));
+                continue;
+            };
+            if let Some(control) = &mut self.control {
+                control.answer(caller, &text);
+            }
+        }
+        for at in self.peers.indices() {
+            let Some(peer) = self.peers.get_mut(at) else { continue };
+            let mut over = (peer.out.len() > WAITING_MOST).then(|| "takes nothing".to_owned());
+            if over.is_none() {
+                over = wire::push(&mut peer.socket, &mut peer.out).err();
+            }
+            if let Some(why) = over {
+                self.drop_peer(at, &why);
+            }
+        }
+    }
+
+    /// A line on the control socket: one JSON object. None: the answer comes later.
+    fn told(&mut self, caller: u32, line: &str) -> Result<Option<String>, Failure> {
+        if line == "stop" {
+            self.stops = true;
+            return Ok(Some("stopping".into()));
+        }
+        let asked: Asked = match serde_json::from_str(line) {
+            Ok(asked) => asked,
+            Err(e) => return Ok(Some(format!("error: {e}"))),
+        };
+        self.asked_for(caller, asked).or_else(|why| match why {
+            Why::Said(text) => Ok(Some(format!("error: {text}"))),
+            // A store that fails is no store: hosts go on with what they have.
+            Why::Store(e) => Err(Failure::new(e)),
+        })
+    }
+
+    fn asked_for(&mut self, caller: u32, asked: Asked) -> Result<Option<String>, Why> {
+        let read = |e: mallowseam_trail::Fault| Why::Said(e.to_string());
+        let at = |version: u64| {
+            let found = self.store.at(version).map_err(read)?;
+            found.ok_or_else(|| Why::Said(format!("no version {version}")))
+        };
+        match asked {
+            Asked::Set { change, expected, author, reason, dry, wait } => {
+                let trail = self.store.trail();
+                let expected = expected.unwrap_or(trail.state.version);
+                let text = trail.propose(expected, &author, &reason, wall(), change.clone());
+                let text = text.map_err(|r| Why::Said(r.to_string()))?;
+                if dry {
+                    return Ok(Some(format!("would be version {}", expected + 1)));
+                }
+                let lowers = lowers(&trail.state, &change);
+                let line = self.store.keep(&text).map_err(|e| Why::Store(e.to_string()))?;
+                tracing::info!(version = line.version, author = line.author, reason = line.reason, "changed");
+                if lowers {
+                    self.hosts.lowers(line.version);
+                }
+                for at in self.peers.indices() {
+                    if let Some(peer) = self.peers.get_mut(at).filter(|p| !p.name.is_empty()) {
+                        peer.say(&ToMember::Line { text: text.clone() });
+                    }
+                }
+                if !wait {
+                    return Ok(Some(format!("version {}", line.version)));
+                }
+                self.waits.push((caller, line.version, self.now + WAIT_MOST));
+                Ok(None)
+            }
+            Asked::Undo { version, author, reason, dry, wait } => {
+                let line = self.store.lines(version, 1).map_err(read)?.pop();
+                let line: Line = line
+                    .and_then(|text| serde_json::from_str(&text).ok())
+                    .ok_or_else(|| Why::Said(format!("no version {version}")))?;
+                let change = at(version - 1)?.state.undo(&line.change);
+                self.asked_for(caller, Asked::Set { change, expected: None, author, reason, dry, wait })
+            }
+            Asked::Show { version } => {
+                let state = match version {
+                    Some(version) => at(version)?.state,
+                    None => self.store.trail().state.clone(),
+                };
+                Ok(Some(serde_json::to_string(&state).expect("plain")))
+            }
+            Asked::History { from, most } => {
+                let lines = self.store.lines(from, most.min(10_000)).map_err(read)?;
+                Ok(Some(lines.join("\n")))
+            }
+            Asked::Diff { one, other } => {
+                let changes = at(one)?.state.diff(&at(other)?.state);
+                let text: Vec<String> =
+                    changes.iter().map(|c| serde_json::to_string(c).expect("plain")).collect();
+                Ok(Some(if text.is_empty() { "no difference".into() } else { text.join("\n") }))
+            }
+            Asked::Hosts => {
+                let (newest, now) = (self.version(), self.now);
+                let waits = self.hosts.waits(newest, now);
+                let everywhere = self.hosts.everywhere(newest, now);
+                let mut text = format!("version {newest}; in force at all hosts: {everywhere}");
+                if !waits.is_empty() {
+                    text += &format!("\nwaits: {}", tell(&waits));
+                }
+                Ok(Some(text))
+            }
+            Asked::Gone { host } => {
+                if self.hosts.gone(&host, self.now) {
+                    Ok(Some(format!("{host} is taken for gone")))
+                } else {
+                    Err(Why::Said(format!("`{host}`: unknown, or heard of in the last seconds")))
+                }
+            }
+            Asked::Replay => {
+                let lines = self.store.replay().map_err(read)?;
+                Ok(Some(format!("trail replays: {lines} of {}", self.version())))
+            }
+        }
+    }
+}
+
+enum Why {
+    Said(String),
+    Store(String),
+}
+
+/// What an operator asks.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Asked {
+    Set {
+        change: Change,
+        /// The version it was made for; none: whatever stands.
+        expected: Option<u64>,
+        author: String,
+        reason: String,
+        dry: bool,
+        wait: bool,
+    },
+    Undo {
+        version: u64,
+        author: String,
+        reason: String,
+        dry: bool,
+        wait: bool,
+    },
+    Show {
+        version: Option<u64>,
+    },
+    History {
+        from: u64,
+        most: usize,
+    },
+    Diff {
+        one: u64,
+        other: u64,
+    },
+    Hosts,
+    Gone {
+        host: String,
+    },
+    Replay,
+}
+
+/// Seconds since 1970, for readers of the trail.
+fn wall() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |s| s.as_secs())
+}
+
+/// Whether a change lowers the limit of any volume. No limit is the highest.
+fn lowers(state: &State, change: &Change) -> bool {
+    let mut next = state.clone();
+    if next.apply(change).is_err() {
+        return false;
+    }
+    let limit = |p: Option<&Plan>| p.map_or(0, |p| p.limit);
+    state.volumes.keys().any(|v| {
+        let (old, new) = (limit(state.plan_of(v)), limit(next.plan_of(v)));
+        new > 0 && (old == 0 || new < old)
+    })
+}
+
+fn tell(waits: &[Waits]) -> String {
+    let one = |w: &Waits| match w {
+        Waits::Silent { host, acts_on, .. } => format!("{host} is silent, acts on {acts_on}"),
+        Waits::Behind { host, acts_on } => format!("{host} acts on {acts_on}"),
+        Waits::Against { host, why } => format!("{host} turned it down: {why}"),
+        Waits::Lapses { .. } => "what was lent before lapses".into(),
+    };
+    waits.iter().map(one).collect::<Vec<_>>().join("; ")
+}
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -78,3 +78,29 @@
         rules: volume.rules.iter().map(rule).collect(),
     }
 }
+
+/// A plan's figures in thousandths, as the control service keeps them.
+pub fn to_figures(p: &site::Plan) -> mallowseam_plans::state::Plan {
+    let thousandths = |n: f64| (n * 1000.0).round().clamp(0.0, mallowseam_plans::state::MOST as f64) as u64;
+    mallowseam_plans::state::Plan {
+        usual: thousandths(p.usual),
+        reserve: thousandths(p.reserve),
+        limit: thousandths(p.limit),
+        burst: thousandths(p.limit_burst),
+        weight: thousandths(p.weight),
+        price: thousandths(p.price),
+    }
+}
+
+pub fn from_figures(name: &str, p: &mallowseam_plans::state::Plan) -> site::Plan {
+    let whole = |n: u64| n as f64 / 1000.0;
+    site::Plan {
+        name: name.to_owned(),
+        usual: whole(p.usual),
+        reserve: whole(p.reserve),
+        limit: whole(p.limit),
+        limit_burst: whole(p.burst),
+        weight: whole(p.weight),
+        price: whole(p.price),
+    }
+}
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -23,6 +23,7 @@
     differs("section host".into(), running.host != wanted.host);
     differs("section fleet".into(), running.fleet != wanted.fleet);
     differs("section catalog".into(), running.catalog != wanted.catalog);
+    differs("section tariffs".into(), running.tariffs != wanted.tariffs);
     differs("groups".into(), running.groups != wanted.groups);
     differs("nodes".into(), running.nodes != wanted.nodes);
     for v in &running.volumes {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,10 +4,11 @@
 use crate::site::{Direction, Rule, Site, Volume};
 
 /// What each kind of section cannot do without.
-const NEEDED: [(&str, &[&str]); 7] = [
+const NEEDED: [(&str, &[&str]); 8] = [
     ("host", &["listen", "target", "node-list", "window", "connections", "longest"]),
     ("fleet", &["hosts", "unit", "mean-units", "largest-units", "submits"]),
     ("catalog", &["listen", "store", "extent", "copies"]),
+    ("tariffs", &["listen", "store"]),
     ("plan", &[]),
     ("group", &["effect", "goal", "hard-limit"]),
     ("volume", &["lun", "plan", "blocks", "block-size", "hosts", "rule"]),
@@ -111,6 +112,7 @@
         host: draft.host.unwrap_or_default().1,
         fleet,
         catalog: catalog.map(|c| c.1),
+        tariffs: draft.tariffs.map(|t| t.1),
         plans: draft.plans.into_iter().map(|p| p.1).collect(),
         groups: draft.groups.into_iter().map(|g| g.1).collect(),
         volumes,
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,6 +1,6 @@
 //! From text to a draft: every directive read, references still by name.
 use crate::lines::{Args, At, Problems, Word, words};
-use crate::site::{Catalog, Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Volume};
+use crate::site::{Catalog, Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Tariffs, Volume};
 use std::collections::HashSet;
 
 #[derive(Default)]
@@ -8,6 +8,7 @@
     pub host: Option<(At, Host)>,
     pub fleet: Option<(At, Fleet)>,
     pub catalog: Option<(At, Catalog, Option<Word>)>,
+    pub tariffs: Option<(At, Tariffs)>,
     pub plans: Vec<(At, Plan)>,
     pub groups: Vec<(At, Group)>,
     pub volumes: Vec<DraftVolume>,
@@ -42,13 +43,14 @@
     Host,
     Fleet,
     Catalog,
+    Tariffs,
     Plan,
     Group,
     Volume,
     Node,
 }
 
-const SECTIONS: &str = "a section: host, fleet, catalog, plan, group, volume or node";
+const SECTIONS: &str = "a section: host, fleet, catalog, tariffs, plan, group, volume or node";
 const MANY: [&str; 2] = ["extent", "rule"];
 const BLOCK: &str = "a block number";
 const NUMBER: &str = "a number from 0 up";
@@ -80,6 +82,7 @@
         "host" => (Section::Host, "host"),
         "fleet" => (Section::Fleet, "fleet"),
         "catalog" => (Section::Catalog, "catalog"),
+        "tariffs" => (Section::Tariffs, "tariffs"),
         "plan" => (Section::Plan, "plan"),
         "group" => (Section::Group, "group"),
         "volume" => (Section::Volume, "volume"),
@@ -89,7 +92,7 @@
             return Section::Lost;
         }
     };
-    let name = if matches!(section, Section::Fleet | Section::Catalog) {
+    let name = if matches!(section, Section::Fleet | Section::Catalog | Section::Tariffs) {
         String::new()
     } else {
         let Some(name) = args.name("a name of letters, digits and -_.:") else { return Section::Lost };
@@ -100,6 +103,7 @@
         Section::Host => draft.host.is_some(),
         Section::Fleet => draft.fleet.is_some(),
         Section::Catalog => draft.catalog.is_some(),
+        Section::Tariffs => draft.tariffs.is_some(),
         _ => false,
     };
     if twice {
@@ -111,6 +115,7 @@
         Section::Host => draft.host = Some((at, Host { name, ..Host::default() })),
         Section::Fleet => draft.fleet = Some((at, Fleet::default())),
         Section::Catalog => draft.catalog = Some((at, Catalog::default(), None)),
+        Section::Tariffs => draft.tariffs = Some((at, Tariffs::default())),
         Section::Plan => {
             draft.plans.push((at, Plan { name, weight: 1.0, price: 1.0, ..Plan::default() }));
         }
@@ -150,6 +155,7 @@
         Section::Host => host(&mut draft.host.as_mut().expect("open").1, &name, &mut args),
         Section::Fleet => fleet(&mut draft.fleet.as_mut().expect("open").1, &name, &mut args),
         Section::Catalog => catalog(draft.catalog.as_mut().expect("open"), &name, &mut args),
+        Section::Tariffs => tariffs(&mut draft.tariffs.as_mut().expect("open").1, &name, &mut args),
         Section::Plan => plan(&mut draft.plans.last_mut().expect("open").1, &name, &mut args),
         Section::Group => group(&mut draft.groups.last_mut().expect("open").1, &name, &mut args),
         Section::Volume => volume(draft.volumes.last_mut().expect("open"), &name, &mut args),
@@ -178,6 +184,8 @@
                 host.node_list = args.address("an address and port, or static");
             }
         }
+        "follow" => host.follow = args.address("an address and port"),
+        "kept-plans" => host.kept_plans = args.word("a path").map(Into::into),
         "kept-list" => host.kept_list = args.word("a path").map(Into::into),
         "window" => set(&mut host.window, args.whole("1 to 1024", 1, 1024).map(|n| n as u32)),
         "connections" => set(&mut host.connections, args.whole("1 to 65536", 1, 65536).map(|n| n as u32)),
@@ -198,7 +206,8 @@
         "seed" => host.seed = args.whole("a whole number", 0, u64::MAX),
         _ => {
             return Err(
-                "listen, target, control, node-list, kept-list, window, connections, longest, digests, seed",
+                "listen, target, control, node-list, kept-list, follow, kept-plans, window, connections, longest, \
+                 digests, seed",
             );
         }
     }
@@ -252,6 +261,16 @@
     Ok(())
 }
 
+fn tariffs(tariffs: &mut Tariffs, name: &str, args: &mut Args) -> Known {
+    match name {
+        "listen" => tariffs.listen = args.address("an address and port"),
+        "store" => set(&mut tariffs.store, args.word("a path").map(Into::into)),
+        "control" => tariffs.control = args.word("a path").map(Into::into),
+        _ => return Err("listen, store, control"),
+    }
+    Ok(())
+}
+
 fn plan(plan: &mut Plan, name: &str, args: &mut Args) -> Known {
     let rate = "units a second such as 20/s";
     match name {
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -12,6 +12,16 @@
     pub nodes: Vec<Node>,
     /// Where snapshots and clones are kept track of.
     pub catalog: Option<Catalog>,
+    /// The service that plans come from, for its own process.
+    pub tariffs: Option<Tariffs>,
+}
+
+/// The control service of plans.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tariffs {
+    pub listen: Option<SocketAddr>,
+    pub store: PathBuf,
+    pub control: Option<PathBuf>,
 }
 
 /// The catalog of snapshots and clones.
@@ -36,6 +46,9 @@
     /// The node list service; none: the nodes of this file, all of them up.
     pub node_list: Option<SocketAddr>,
     pub kept_list: Option<PathBuf>,
+    /// The control service whose plans it follows, and the copy of them kept for a start without it.
+    pub follow: Option<SocketAddr>,
+    pub kept_plans: Option<PathBuf>,
     /// Commands in hand for one connection, and connections, at most.
     pub window: u32,
     pub connections: u32,
