Rehearse tariff-night: limits changed every second under surges, held by the sockets' own account

Whether parts of limits add up was shown in a model only.

The rehearsal runs a control service and sixteen hosts, changes a limit every second, kills the service three times, kills and stalls hosts. The audit holds what reached the nodes against the largest limit that any host may have acted on: from the moment at which a version was asked for until a later one was told to be in force at all hosts; a doctored run is caught by a test. It prints limits held, the worst overshoot and how the trail replays.

On the way: a host that was killed and started again had its even part at once while what it had lent was still in use; it now holds itself to what it never lends for 3.05 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -40,9 +40,10 @@
         volumes: BTreeMap<String, u32>,
         registry: Registry,
         token: Token,
+        now: Millis,
     ) -> Self {
         let known = kept.as_deref().and_then(read_kept);
-        let member = Member::new(host, volumes, known);
+        let member = Member::new(host, volumes, known, now);
         let (partial, out) = Default::default();
         Follow { address, kept, registry, token, socket: None, partial, out, member }
     }
@@ -126,8 +127,8 @@
     }
 
     /// The host acts on the next state: kept on disk first, so that a start without the service does as well.
-    pub fn acts_on(&mut self) {
-        if let Some(word) = self.member.acts_on() {
+    pub fn acts_on(&mut self, now: Millis) {
+        if let Some(word) = self.member.acts_on(now) {
             if let Some(path) = &self.kept
                 && let Err(e) = write_kept(path, self.member.trail())
             {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 
 pub use control::{Status, ask};
 pub use run::{Failure, run};
+pub use tariffs::Asked;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -156,7 +156,7 @@
             Some(address) => {
                 let volumes = site.volumes.iter().map(|v| (v.name.clone(), v.hosts)).collect();
                 let kept = site.host.kept_plans.clone();
-                Some(Follow::new(&site.host.name, address, kept, volumes, registry()?, FOLLOW))
+                Some(Follow::new(&site.host.name, address, kept, volumes, registry()?, FOLLOW, 0))
             }
             None => None,
         };
@@ -400,8 +400,9 @@
         match taken {
             Ok(taken) => {
                 self.put(taken);
+                let now = millis(self.desk.now);
                 if let Some(follow) = &mut self.follow {
-                    follow.acts_on();
+                    follow.acts_on(now);
                 }
                 // What has no limit any more has no part of one.
                 let parted: Vec<String> = self
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -97,6 +97,8 @@
     pub submits: u64,
     pub further: u64,
     pub copies: u64,
+    /// The furthest that any limit was passed, in parts of the slack that it is given.
+    pub overshoot: f64,
     pub blocks_checked: u64,
     /// Snapshots read back, and what is wrong with them.
     pub snapshots: u64,
@@ -155,9 +157,20 @@
     format!("{}.{:03} s", at / 1_000_000, at / 1000 % 1000)
 }
 
+/// A limit and its burst, from the moment at which it was asked for until all hosts acted on a later one.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce {
+    pub from: Micros,
+    pub until: Micros,
+    pub limit: f64,
+    pub burst: f64,
+}
+
 /// Where the extents of mapped volumes lay: layer, node and place to volume and extent.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
+    /// Where limits changed: by plan, each figure that was in force.
+    pub limits: BTreeMap<String, Vec<InForce>>,
     pub extent: u64,
     pub found: HashMap<(u32, u32, u64), (usize, u64)>,
 }
@@ -549,7 +562,11 @@
     fn limits(&mut self) {
         for (v, volume) in self.site.volumes.iter().enumerate() {
             let plan = &self.site.plans[volume.plan];
-            if plan.limit <= 0.0 {
+            let always =
+                [InForce { from: 0, until: Micros::MAX, limit: plan.limit, burst: plan.limit_burst }];
+            let windows = self.places.limits.get(&plan.name).map_or(&always[..], Vec::as_slice);
+            // Without a limit at some time, nothing can be said of what was saved up.
+            if windows.iter().any(|w| w.limit <= 0.0) {
                 continue;
             }
             let mut first: Vec<(Micros, f64)> = Vec::new();
@@ -561,12 +578,17 @@
                 first.extend(parts.values().map(|sub| (sub.at, self.units(sub.blocks))));
             }
             first.sort_by_key(|f| f.0);
-            let slack = (plan.limit_burst * LIMIT_SLACK).max(self.site.fleet.largest_units);
-            let rate = plan.limit * (1.0 + LIMIT_SLACK) / 1e6;
-            let (mut store, mut last) = (plan.limit_burst, 0);
+            let burst = windows.iter().map(|w| w.burst).fold(0.0, f64::max);
+            let slack = (burst * LIMIT_SLACK).max(self.site.fleet.largest_units);
+            let (mut store, mut last) = (windows[0].burst, 0);
             for (at, units) in first {
-                store = (store + (at - last) as f64 * rate).min(plan.limit_burst) - units;
+                // The largest limit that any host may have acted on since the block I/O before.
+                let may = |w: &&InForce| w.from <= at && w.until >= last;
+                let most = |f: fn(&InForce) -> f64| windows.iter().filter(may).map(f).fold(0.0, f64::max);
+                let rate = most(|w| w.limit) * (1.0 + LIMIT_SLACK) / 1e6;
+                store = (store + (at - last) as f64 * rate).min(most(|w| w.burst)) - units;
                 last = at;
+                self.verdict.overshoot = self.verdict.overshoot.max(-store / slack);
                 if store < -slack {
                     let line = format!(
                         "{} was sent {:.1} units past its limit by {}",
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -23,7 +23,7 @@
     },
     /// Play a script of trouble through real hosts and judge it by what passed on the sockets
     Rehearse {
-        /// bad-day, month-end, demo, short, or a script's file
+        /// bad-day, month-end, tariff-night, demo, short, or a script's file
         script: String,
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -60,9 +60,10 @@
     },
 }
 
-const SCRIPTS: [(&str, &str); 4] = [
+const SCRIPTS: [(&str, &str); 5] = [
     ("bad-day", include_str!("../scripts/bad-day.script")),
     ("month-end", include_str!("../scripts/month-end.script")),
+    ("tariff-night", include_str!("../scripts/tariff-night.script")),
     ("demo", include_str!("../scripts/demo.script")),
     ("short", include_str!("../scripts/short.script")),
 ];
@@ -214,5 +215,13 @@
             v.broken.iter().filter(|b| b.is_empty()).count()
         );
     }
+    if let Some((versions, replayed)) = outcome.trail {
+        println!(
+            "limits held: {versions} versions, worst overshoot {:.0}% of slack; trail replays: {replayed} of \
+             {versions}; rules kept: {} of 7",
+            100.0 * v.overshoot.max(0.0),
+            v.broken.iter().filter(|b| b.is_empty()).count()
+        );
+    }
     v.kept() && outcome.unclean.is_empty() && c.wrong.is_empty()
 }
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -1,5 +1,5 @@
 //! Plays a script: real hosts as processes, stand-ins round them, trouble as written, then the audit.
-use crate::audit::{self, Places, Verdict};
+use crate::audit::{self, InForce, Places, Verdict};
 use crate::block;
 use crate::counter::Counter;
 use crate::listd::{self, Listd, Word as ListWord};
@@ -8,9 +8,12 @@
 use crate::script::{Event, Scene, Trouble, Which};
 use crate::trace::{Micros, Seen, Trace, What};
 use mallowseam_cow::tree::Tree;
+use mallowseam_gateway::Asked as Ask;
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_nodelist::Condition;
+use mallowseam_plans::state::{Change, Plan};
+use mallowseam_plans::trail::Line;
 use mallowseam_settings::Site;
 use mallowseam_settings::site::Direction;
 use nix::sys::signal::{Signal, kill};
@@ -39,6 +42,8 @@
     /// Processes that did not end as they should.
     pub unclean: Vec<String>,
     pub clones: Clones,
+    /// Versions of plans, and how many of them the trail replays to; none without a control service.
+    pub trail: Option<(u64, u64)>,
 }
 
 /// How clones came out, and snapshots that were refused.
@@ -55,6 +60,41 @@
     pub grants: Vec<u64>,
 }
 
+/// A change of a limit: when it was asked for, and when it was told to be in force at all hosts.
+struct Tariff {
+    reason: String,
+    at: Micros,
+    in_force: Option<Micros>,
+}
+
+/// Figures of a plan with its limit and burst times so many.
+fn figures(plan: &mallowseam_settings::site::Plan, times: f64) -> Plan {
+    let thousandths = |n: f64| (n * 1000.0).round() as u64;
+    Plan {
+        usual: thousandths(plan.usual),
+        reserve: thousandths(plan.reserve),
+        limit: thousandths((plan.limit * times).max(plan.reserve)),
+        burst: thousandths(plan.limit_burst * times),
+        weight: thousandths(plan.weight),
+        price: thousandths(plan.price),
+    }
+}
+
+/// Changes of limits over a day, as the seed draws them.
+fn tariffs(scene: &Scene, site: &Site, seed: u64) -> Vec<Event> {
+    let Some(every) = scene.tariffs else { return Vec::new() };
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x7a71);
+    let limited: Vec<usize> = (0..site.plans.len()).filter(|p| site.plans[*p].limit > 0.0).collect();
+    let times = (1..).map(|n| n * every).take_while(|at| at + 2_000_000 < scene.length);
+    times
+        .filter(|_| !limited.is_empty())
+        .map(|at| {
+            let plan = limited[rng.random_range(0..limited.len())];
+            Event { at, trouble: Trouble::Tariff(plan, rng.random_range(0.4..1.6)) }
+        })
+        .collect()
+}
+
 enum Kind {
     Snapshot(String, String),
     Clone(String, String),
@@ -102,6 +142,10 @@
         self.at(202)
     }
 
+    fn control(&self) -> SocketAddr {
+        self.at(203)
+    }
+
     fn list(&self) -> SocketAddr {
         self.at(201)
     }
@@ -118,8 +162,17 @@
         writeln!(out, "    control \"{dir}/catalog.sock\"\n    extent {extent}\n    copies {copies}")
             .expect("memory");
     }
+    if scene.tariffs.is_some() {
+        writeln!(out, "tariffs\n    listen {}\n    store \"{dir}/plans\"", addresses.control())
+            .expect("memory");
+        writeln!(out, "    control \"{dir}/control.sock\"").expect("memory");
+    }
     writeln!(out, "host gw{host}\n    listen {}\n    target {TARGET}", addresses.host(host)).expect("memory");
     writeln!(out, "    control \"{dir}/gw{host}.sock\"\n    node-list {}", addresses.list()).expect("memory");
+    if scene.tariffs.is_some() {
+        writeln!(out, "    follow {}\n    kept-plans \"{dir}/gw{host}.plans\"", addresses.control())
+            .expect("memory");
+    }
     if scene.kept_list {
         writeln!(out, "    kept-list \"{dir}/gw{host}.list\"").expect("memory");
     }
@@ -159,6 +212,8 @@
     load: Load,
     hosts: Vec<HostProcess>,
     catalog: Option<Child>,
+    control: Option<Child>,
+    tariffs: Arc<Mutex<Vec<Tariff>>>,
     /// What was asked of the catalog, in threads of their own.
     asked: Arc<Mutex<Vec<Asked>>>,
     askers: Vec<JoinHandle<()>>,
@@ -179,7 +234,10 @@
 ) -> Result<Outcome, String> {
     let dir = tempfile::tempdir().map_err(|e| e.to_string())?;
     let mut stage = Stage::open(scene, seed, program, dir.path())?;
-    for event in &scene.events {
+    let mut events = scene.events.clone();
+    events.extend(tariffs(scene, &stage.site, seed));
+    events.sort_by_key(|e| e.at);
+    for event in &events {
         stage.wait_until(event.at);
         tell(stage.trace.now(), &describe(event));
         stage.play(event);
@@ -262,6 +320,8 @@
             trace,
             hosts,
             catalog: None,
+            control: None,
+            tariffs: Arc::default(),
             asked: Arc::default(),
             askers: Vec::new(),
             host_addresses: (0..scene.hosts).map(|h| addresses.host(h)).collect(),
@@ -274,6 +334,9 @@
         if scene.catalog.is_some() {
             stage.start_catalog()?;
         }
+        if scene.tariffs.is_some() {
+            stage.start_control()?;
+        }
         for host in 0..scene.hosts {
             stage.start_host(host)?;
         }
@@ -285,6 +348,80 @@
         std::thread::sleep(Duration::from_micros(at.saturating_sub(now)));
     }
 
+    fn start_control(&mut self) -> Result<(), String> {
+        let file = self.hosts[0].file.clone();
+        self.control = Some(self.spawn("control", &file, "control.log")?);
+        Ok(())
+    }
+
+    /// Changes a plan's limit, in a thread of its own, and waits until it is in force everywhere.
+    fn change_plan(&mut self, plan: usize, times: f64) {
+        let (trace, tariffs, sock) =
+            (self.trace.clone(), Arc::clone(&self.tariffs), self.dir.join("control.sock"));
+        let plan = self.site.plans[plan].clone();
+        let number = self.askers.len();
+        self.askers.push(std::thread::spawn(move || {
+            let figures = figures(&plan, times);
+            let change = Change::Plan { name: plan.name, figures };
+            let (author, reason) = ("rehearsal".into(), format!("change {number}"));
+            let asked =
+                Ask::Set { change, expected: None, author, reason: reason.clone(), dry: false, wait: true };
+            let at = trace.now();
+            let line = serde_json::to_string(&asked).expect("plain");
+            let done = mallowseam_gateway::ask(&sock, &line).is_ok();
+            let in_force = done.then(|| trace.now());
+            tariffs.lock().expect("no panic").push(Tariff { reason, at, in_force });
+        }));
+    }
+
+    /// What limits were in force when, by the trail and by what was answered; and how the trail replays.
+    fn read_trail(&mut self, places: &mut Places) -> (u64, u64) {
+        for asker in std::mem::take(&mut self.askers) {
+            let _ = asker.join();
+        }
+        let sock = self.dir.join("control.sock");
+        let ask = |what: &Ask| {
+            let line = serde_json::to_string(what).expect("plain");
+            mallowseam_gateway::ask(&sock, &line).map_err(|e| e.to_string())
+        };
+        let history = match ask(&Ask::History { from: 1, most: 10_000 }) {
+            Ok(text) => text,
+            Err(e) => {
+                self.unclean.push(format!("the trail: {e}"));
+                return (0, 0);
+            }
+        };
+        let lines: Vec<Line> = history.lines().filter_map(|l| serde_json::from_str(l).ok()).collect();
+        let told = self.tariffs.lock().expect("no panic");
+        let of = |line: &Line| told.iter().find(|t| t.reason == line.reason);
+        // Once a version is in force at all hosts, so is each one before it, and none of them any more.
+        let over = |after: u64| {
+            let later = lines.iter().filter(|l| l.version >= after).filter_map(|l| of(l)?.in_force);
+            later.min().unwrap_or(Micros::MAX)
+        };
+        for (i, line) in lines.iter().enumerate() {
+            let Change::Plan { name, figures } = &line.change else { continue };
+            let same = |l: &&Line| matches!(&l.change, Change::Plan { name: n, .. } if n == name);
+            let until = lines[i + 1..].iter().find(same).map_or(Micros::MAX, |next| over(next.version));
+            let (from, whole) = (of(line).map_or(0, |t| t.at), |n: u64| n as f64 / 1000.0);
+            let in_force = InForce { from, until, limit: whole(figures.limit), burst: whole(figures.burst) };
+            places.limits.entry(name.clone()).or_default().push(in_force);
+        }
+        drop(told);
+        let versions = lines.len() as u64;
+        match ask(&Ask::Replay) {
+            Ok(text) if text == format!("trail replays: {versions} of {versions}") => (versions, versions),
+            Ok(text) => {
+                self.unclean.push(text);
+                (versions, 0)
+            }
+            Err(e) => {
+                self.unclean.push(format!("the trail: {e}"));
+                (versions, 0)
+            }
+        }
+    }
+
     fn start_catalog(&mut self) -> Result<(), String> {
         let file = self.hosts[0].file.clone();
         let child = self.spawn("catalog", &file, "catalog.log")?;
@@ -452,6 +589,18 @@
                     let _ = child.wait();
                 }
             }
+            Trouble::Tariff(plan, times) => self.change_plan(*plan, *times),
+            Trouble::ControlKill => {
+                if let Some(mut child) = self.control.take() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+            }
+            Trouble::ControlStart => {
+                if let Err(e) = self.start_control() {
+                    self.unclean.push(e);
+                }
+            }
             Trouble::CatalogStart => {
                 if let Err(e) = self.start_catalog() {
                     self.unclean.push(e);
@@ -603,8 +752,15 @@
         self.load.say(LoadWord::Quiet);
         let longest = self.site.groups.iter().map(|g| g.hard_limit).max().unwrap_or(0);
         std::thread::sleep(Duration::from_micros(longest + 2 * load::WAY));
-        let (places, clones) =
+        let (mut places, clones) =
             if self.scene.catalog.is_some() { self.read_back() } else { Default::default() };
+        let trail = self.scene.tariffs.map(|_| self.read_trail(&mut places));
+        if let Some(mut child) = self.control.take() {
+            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
+            if !child.wait().is_ok_and(|s| s.success()) {
+                self.unclean.push("the control service did not end well".into());
+            }
+        }
         for n in 0..self.scene.hosts {
             self.signal(n, Signal::SIGTERM);
         }
@@ -629,7 +785,7 @@
         // a node that fell says so itself.
         model.unit_work *= 0.85;
         let verdict = audit::judge(&site, &model, &seen, &places);
-        Outcome { verdict, seen, site, unclean, clones }
+        Outcome { verdict, seen, site, unclean, clones, trail }
     }
 }
 
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -21,6 +21,8 @@
     pub digests: bool,
     /// Blocks of an extent of mapped volumes, and the group of copies.
     pub catalog: Option<(u64, String)>,
+    /// A control service runs, and limits are changed this often.
+    pub tariffs: Option<Micros>,
     pub events: Vec<Event>,
     /// Sections that every host's configuration has.
     pub site: String,
@@ -73,6 +75,10 @@
     Clone(String, String),
     CatalogKill,
     CatalogStart,
+    ControlKill,
+    ControlStart,
+    /// A plan's limit and burst become this multiple of the script's.
+    Tariff(usize, f64),
 }
 
 /// Reads a script. All its problems come back at once.
@@ -101,6 +107,7 @@
         kept_list: true,
         digests: false,
         catalog: None,
+        tariffs: None,
         events: Vec::new(),
         site: String::new(),
     };
@@ -117,7 +124,7 @@
         if head(&mut scene, &name, &mut args) {
             args.end();
         } else {
-            let known = "day, hosts, nodes, cold, clients, list-lag, kept-list, digests, catalog, at or site";
+            let known = "day, hosts, nodes, cold, clients, list-lag, kept-list, digests, catalog, tariffs, at or site";
             problems.add(at, known, format!("`{name}`"));
         }
     }
@@ -193,6 +200,10 @@
             let copies = args.word("the name of a group");
             scene.catalog = extent.zip(copies);
         }
+        "tariffs" => {
+            args.value("every", |w| (w == "every").then_some(()));
+            scene.tariffs = args.duration(span).filter(|n| *n > 0);
+        }
         "at" => {
             if let Some((at, begins, ends)) = event(args) {
                 scene.events.push(Event { at, trouble: begins });
@@ -212,7 +223,7 @@
     let span = "a duration such as 3s";
     let at = args.duration(span)?;
     const KINDS: &str =
-        "node, host, client, list, surge, load, half-logins, garbage, snapshot, clone or catalog";
+        "node, host, client, list, surge, load, half-logins, garbage, snapshot, clone, catalog or control";
     let kind = args.value(KINDS, |w| {
         [
             "node",
@@ -226,6 +237,7 @@
             "snapshot",
             "clone",
             "catalog",
+            "control",
         ]
         .into_iter()
         .find(|k| *k == w)
@@ -246,6 +258,10 @@
             args.value("kill", |w| (w == "kill").then_some(()))?;
             (Trouble::CatalogKill, Some(Trouble::CatalogStart))
         }
+        "control" => {
+            args.value("kill", |w| (w == "kill").then_some(()))?;
+            (Trouble::ControlKill, Some(Trouble::ControlStart))
+        }
         "load" => (Trouble::Load(args.number("a multiple", 0.0, 100.0)?), Some(Trouble::Load(1.0))),
         "half-logins" => (Trouble::HalfLogins(args.whole("a number", 1, 1000)? as u32), None),
         _ => (Trouble::Garbage(args.whole("a number", 1, 1000)? as u32), None),
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -1,6 +1,6 @@
 //! The audit catches each broken rule in a doctored trace, and finds nothing in the sound one.
 use mallowseam_iscsi::scsi::status;
-use mallowseam_lab::audit::{Places, Verdict, judge};
+use mallowseam_lab::audit::{InForce, Places, Verdict, judge};
 use mallowseam_lab::node::Model;
 use mallowseam_lab::trace::{Micros, Seen, What};
 use mallowseam_settings::Site;
@@ -119,6 +119,10 @@
     }
 
     fn judge(&self) -> Verdict {
+        self.judge_with(&Places::default())
+    }
+
+    fn judge_with(&self, places: &Places) -> Verdict {
         let site: Site = mallowseam_settings::read("site", SITE).expect("sound");
         let model = Model {
             cores: 1,
@@ -133,7 +137,7 @@
         };
         let mut seen = self.seen.clone();
         seen.sort_by_key(|s| s.at);
-        judge(&site, &model, &seen, &Places::default())
+        judge(&site, &model, &seen, places)
     }
 
     /// Which rules the audit holds broken; 8 stands for wrong bytes.
@@ -324,6 +328,22 @@
     }
 }
 
+#[test]
+fn a_limit_passed_after_a_lower_one_is_in_force_is_caught_and_before_that_is_not() {
+    // Six units at 100 ms, where four may be saved up and two are slack; then two at once, from 50 ms on or later.
+    for (in_force, broken) in [(Micros::MAX, 0), (150_000, 0), (50_000, 1)] {
+        let mut run = sound();
+        for op in 0..6 {
+            run.whole(100, 10 + op, false, 1, 8, 0);
+        }
+        let window = |from, until, burst| InForce { from, until, limit: 2.0, burst };
+        let limits = vec![window(0, in_force, 4.0), window(20_000, Micros::MAX, 2.0)];
+        let limits = [("basic".to_owned(), limits)].into();
+        let verdict = run.judge_with(&Places { limits, ..Places::default() });
+        assert_eq!(verdict.broken[6].len(), broken, "in force at {in_force}: {:?}", verdict.broken[6]);
+    }
+}
+
 #[test]
 fn bytes_that_were_not_last_written_there_are_caught() {
     // Altered bytes, a write that was overwritten, one lost, one from elsewhere.
--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -40,9 +40,26 @@
         "s:2:7: expected 1 to 64, found `0`",
         "s:3:9: expected cores, work or queue, found `core`",
         "s:4:23: expected for DURATION, found the end of the line",
-        "s:5:7: expected node, host, client, list, surge, load, half-logins, garbage, snapshot, clone or catalog, found `nod`",
+        "s:5:7: expected node, host, client, list, surge, load, half-logins, garbage, snapshot, clone, catalog or control, found `nod`",
         "s:1:1: expected `clients` in the script, found none",
     ] {
         assert!(problems.contains(wanted), "{wanted}\nin\n{problems}");
     }
 }
+
+#[test]
+fn limits_that_change_under_way_are_held_and_the_trail_replays() {
+    let night = include_str!("../scripts/tariff-night.script");
+    // A quarter of it: four hosts, and the control service killed once.
+    let text =
+        night.replace("hosts 16", "hosts 4").replace("day 34s", "day 9s").replace("clients 48", "clients 16");
+    let short: String = text
+        .lines()
+        .filter(|l| !l.starts_with("at ") || l.starts_with("at 3s") || l.starts_with("at 6s"))
+        .map(|l| format!("{l}\n"))
+        .collect();
+    let outcome = play(&short, 5);
+    kept(&outcome);
+    let (versions, replayed) = outcome.trail.expect("a control service ran");
+    assert!(versions > 8 && versions == replayed, "{replayed} of {versions}");
+}
--- a/crates/plans/src/lend.rs
+++ b/crates/plans/src/lend.rs
@@ -39,6 +39,12 @@
         Share { even: limit / Units::from(hosts.max(1)), ..Share::default() }
     }
 
+    /// A host that has just started does not know what it lent before: it holds itself to the part that it never
+    /// lends until all of that has lapsed.
+    pub fn started(&mut self, until: Millis, now: Millis) {
+        add(&mut self.lent, self.even - self.even * KEEP_PART / 1000, until, now);
+    }
+
     pub fn even(&self) -> Units {
         self.even
     }
@@ -101,6 +107,15 @@
         assert_eq!(share.part(2_600), 300, "it came too late to be of use");
     }
 
+    #[test]
+    fn a_host_that_starts_uses_only_what_it_cannot_have_lent() {
+        let mut share = Share::new(900, 3);
+        share.started(3_050, 0);
+        assert_eq!((share.part(0), share.part(3_049), share.part(3_050)), (75, 75, 300));
+        let mut other = Share::new(900, 3);
+        assert_eq!(other.lend(other.spare(0), 0), 225, "no more is ever lent");
+    }
+
     #[test]
     fn a_host_keeps_what_it_uses_and_a_first_surge() {
         let share = Share::new(900, 3);
--- a/crates/plans/src/member.rs
+++ b/crates/plans/src/member.rs
@@ -1,5 +1,5 @@
 //! A host that follows the control service: which version it acts on, and its parts of limits.
-use crate::lend::Share;
+use crate::lend::{LOAN, MARGIN, Share};
 use crate::state::State;
 use crate::trail::{BEGINNING, Trail};
 use crate::words::{ToControl, ToMember};
@@ -33,23 +33,26 @@
     /// The host's own volumes, with the number of hosts of each.
     volumes: BTreeMap<String, u32>,
     shares: BTreeMap<String, Share>,
+    /// Until then, what was lent before this start may still be used by others.
+    unsure_until: Millis,
     tries: u32,
     connect_at: Millis,
 }
 
 impl Member {
     /// Starts with what was kept on disk, if anything.
-    pub fn new(host: &str, volumes: BTreeMap<String, u32>, kept: Option<Trail>) -> Member {
+    pub fn new(host: &str, volumes: BTreeMap<String, u32>, kept: Option<Trail>, now: Millis) -> Member {
         let mut member = Member {
             host: host.to_owned(),
             trail: kept.unwrap_or_default(),
             next: None,
             volumes,
             shares: BTreeMap::new(),
+            unsure_until: now + LOAN + MARGIN,
             tries: 0,
             connect_at: 0,
         };
-        member.share_out();
+        member.share_out(now);
         member
     }
 
@@ -120,9 +123,9 @@
     }
 
     /// The host acts on the next state from now on.
-    pub fn acts_on(&mut self) -> Option<ToControl> {
+    pub fn acts_on(&mut self, now: Millis) -> Option<ToControl> {
         self.trail = self.next.take()?;
-        self.share_out();
+        self.share_out(now);
         Some(ToControl::ActsOn { version: self.trail.state.version })
     }
 
@@ -132,12 +135,19 @@
         Some(ToControl::Against { version, why })
     }
 
-    fn share_out(&mut self) {
+    fn share_out(&mut self, now: Millis) {
+        let unsure = self.unsure_until;
         for (name, hosts) in &self.volumes {
             match self.trail.state.plan_of(name).filter(|p| p.limit > 0) {
                 Some(plan) => match self.shares.get_mut(name) {
                     Some(share) => share.limit(plan.limit, *hosts),
-                    None => drop(self.shares.insert(name.clone(), Share::new(plan.limit, *hosts))),
+                    None => {
+                        let mut share = Share::new(plan.limit, *hosts);
+                        if now < unsure {
+                            share.started(unsure, now);
+                        }
+                        self.shares.insert(name.clone(), share);
+                    }
                 },
                 None => drop(self.shares.remove(name)),
             }
@@ -166,6 +176,9 @@
     use super::*;
     use crate::state::{Change, Plan};
 
+    /// Long enough after the start that nothing lent before can be in use.
+    const T: Millis = LOAN + MARGIN;
+
     fn service() -> Trail {
         let mut trail = Trail::default();
         let figures = Plan { limit: 900, burst: 10, ..Plan::default() };
@@ -182,10 +195,10 @@
 
     fn member() -> (Trail, Member) {
         let trail = service();
-        let mut member = Member::new("h", [("water".to_owned(), 3)].into(), None);
+        let mut member = Member::new("h", [("water".to_owned(), 3)].into(), None, 0);
         let whole = ToMember::Whole { state: Box::new(trail.state.clone()), last: trail.last().to_owned() };
-        assert_eq!(member.heard(whole, &Wanted::new(), 0), Heard::State);
-        assert_eq!(member.acts_on(), Some(ToControl::ActsOn { version: 2 }));
+        assert_eq!(member.heard(whole, &Wanted::new(), T), Heard::State);
+        assert_eq!(member.acts_on(T), Some(ToControl::ActsOn { version: 2 }));
         (trail, member)
     }
 
@@ -204,22 +217,22 @@
     #[test]
     fn a_version_counts_once_the_host_has_taken_it_up() {
         let (mut trail, mut member) = member();
-        assert_eq!(parts(&member, 0), [300]);
-        assert_eq!(member.heard(lower(&mut trail, 600), &Wanted::new(), 0), Heard::State);
-        assert_eq!(parts(&member, 0), [300]);
-        member.acts_on();
-        assert_eq!((parts(&member, 0), member.state()), (vec![200], &trail.state));
+        assert_eq!(parts(&member, T), [300]);
+        assert_eq!(member.heard(lower(&mut trail, 600), &Wanted::new(), T), Heard::State);
+        assert_eq!(parts(&member, T), [300]);
+        member.acts_on(T);
+        assert_eq!((parts(&member, T), member.state()), (vec![200], &trail.state));
     }
 
     #[test]
     fn a_version_that_is_turned_down_is_mended_by_a_later_one() {
         let (mut trail, mut member) = member();
-        member.heard(lower(&mut trail, 600), &Wanted::new(), 0);
+        member.heard(lower(&mut trail, 600), &Wanted::new(), T);
         assert_eq!(member.against("no".into()), Some(ToControl::Against { version: 3, why: "no".into() }));
-        assert_eq!(parts(&member, 0), [300]);
-        member.heard(lower(&mut trail, 750), &Wanted::new(), 0);
-        assert_eq!(member.acts_on(), Some(ToControl::ActsOn { version: 4 }));
-        assert_eq!(parts(&member, 0), [250]);
+        assert_eq!(parts(&member, T), [300]);
+        member.heard(lower(&mut trail, 750), &Wanted::new(), T);
+        assert_eq!(member.acts_on(T), Some(ToControl::ActsOn { version: 4 }));
+        assert_eq!(parts(&member, T), [250]);
     }
 
     #[test]
@@ -227,8 +240,8 @@
         let (mut trail, mut member) = member();
         lower(&mut trail, 600);
         let skipped = lower(&mut trail, 500);
-        assert!(matches!(member.heard(skipped, &Wanted::new(), 0), Heard::Lost(_)));
-        assert_eq!(parts(&member, 0), [300]);
+        assert!(matches!(member.heard(skipped, &Wanted::new(), T), Heard::Lost(_)));
+        assert_eq!(parts(&member, T), [300]);
         let ToControl::Hello { last, .. } = member.hello() else { panic!("it opens with hello") };
         assert!(last.is_empty());
     }
@@ -237,30 +250,30 @@
     fn what_is_lent_is_not_used_from_before_the_answer_is_sent() {
         let (_, mut member) = member();
         let Heard::Say(ToControl::Report { volumes, .. }) =
-            member.heard(ToMember::Ask { asked: 7 }, &Wanted::new(), 100)
+            member.heard(ToMember::Ask { asked: 7 }, &Wanted::new(), T + 100)
         else {
             panic!("it answers")
         };
         assert_eq!(volumes, [("water".to_owned(), 225, 0)]);
-        assert_eq!(parts(&member, 100), [75]);
+        assert_eq!(parts(&member, T + 100), [75]);
         let wanted = [("water".to_owned(), 800)].into();
         let Heard::Say(ToControl::Report { volumes, .. }) =
-            member.heard(ToMember::Ask { asked: 9 }, &wanted, 200)
+            member.heard(ToMember::Ask { asked: 9 }, &wanted, T + 200)
         else {
             panic!("it answers")
         };
         assert_eq!(volumes, [("water".to_owned(), 0, 500)]);
-        let grant = ToMember::Granted { sent: 200, span: 1_500, volumes: vec![("water".into(), 400)] };
-        member.heard(grant, &wanted, 300);
-        assert_eq!(parts(&member, 300), [475]);
+        let grant = ToMember::Granted { sent: T + 200, span: 1_500, volumes: vec![("water".into(), 400)] };
+        member.heard(grant, &wanted, T + 300);
+        assert_eq!(parts(&member, T + 300), [475]);
     }
 
     #[test]
     fn a_service_that_is_away_is_tried_ever_later_and_not_by_all_at_once() {
-        let mut member = Member::new("h", BTreeMap::new(), None);
+        let mut member = Member::new("h", BTreeMap::new(), None, 0);
         let tries: Vec<Millis> = (0..30_000).filter(|now| member.connects(*now, 0)).collect();
         assert!((10..30).contains(&tries.len()), "{tries:?}");
-        let mut other = Member::new("i", BTreeMap::new(), None);
+        let mut other = Member::new("i", BTreeMap::new(), None, 0);
         let others: Vec<Millis> = (0..30_000).filter(|now| other.connects(*now, 1_000)).collect();
         assert_ne!(tries.last(), others.last());
     }
