--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -216,6 +216,16 @@
         );
     }
     if let Some((versions, replayed)) = outcome.trail {
+        let (spans, asked) = &outcome.in_force;
+        let at = |part: f64| {
+            spans.get((spans.len() as f64 * part) as usize).or(spans.last()).copied().unwrap_or(0)
+        };
+        println!(
+            "told in force at all hosts: {} of {asked}; after {} ms in the median, {} ms at most",
+            spans.len(),
+            at(0.5),
+            at(1.0)
+        );
         println!(
             "limits held: {versions} versions, worst overshoot {:.0}% of slack; trail replays: {replayed} of \
              {versions}; rules kept: {} of 7",
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -44,6 +44,9 @@
     pub clones: Clones,
     /// Versions of plans, and how many of them the trail replays to; none without a control service.
     pub trail: Option<(u64, u64)>,
+    /// Milliseconds from asking for a version to hearing that it is in force at all hosts, in order; and how
+    /// many were asked for.
+    pub in_force: (Vec<u64>, usize),
 }
 
 /// How clones came out, and snapshots that were refused.
@@ -777,6 +780,11 @@
         if self.scene.catalog.is_some() {
             self.verify(&mut clones);
         }
+        let told = self.tariffs.lock().expect("no panic");
+        let spans = told.iter().filter_map(|t| Some((t.in_force? - t.at) / 1_000));
+        let mut in_force: (Vec<u64>, usize) = (spans.collect(), told.len());
+        in_force.0.sort_unstable();
+        drop(told);
         let Stage { trace, load, nodes, list, site, unclean, scene, .. } = self;
         drop((load, nodes, list));
         let seen = trace.take();
@@ -785,7 +793,7 @@
         // a node that fell says so itself.
         model.unit_work *= 0.85;
         let verdict = audit::judge(&site, &model, &seen, &places);
-        Outcome { verdict, seen, site, unclean, clones, trail }
+        Outcome { verdict, seen, site, unclean, clones, trail, in_force }
     }
 }
 
--- a/crates/trail/tests/trails.rs
+++ b/crates/trail/tests/trails.rs
@@ -128,3 +128,32 @@
     let why = store.replay().expect_err("altered").to_string();
     assert!(why.contains("trail line 18: does not follow"), "{why}");
 }
+
+/// Opening and replaying a long trail: `cargo test --release -p mallowseam-trail -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement"]
+fn a_long_trail() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().join("plans");
+    let mut store = Store::open(&path).expect("new");
+    let lines = 100_000;
+    let began = std::time::Instant::now();
+    for n in 0..lines {
+        let text = line(&store, n);
+        store.keep(&text).expect("kept");
+    }
+    let wrote = began.elapsed();
+    drop(store);
+    let began = std::time::Instant::now();
+    let store = Store::open(&path).expect("there");
+    let opened = began.elapsed();
+    let began = std::time::Instant::now();
+    store.replay().expect("sound");
+    let bytes = std::fs::metadata(&path).expect("there").len();
+    println!(
+        "{lines} lines: kept in {:.0} us each, {} bytes a line, opened in {opened:.1?}, replayed in {:.1?}",
+        wrote.as_micros() as f64 / lines as f64,
+        bytes / lines,
+        began.elapsed()
+    );
+}
