work-out deals limits to hosts by what they send

The parts of a limit by host were worked out by a function that no command used.

A problem may have sections host NAME with sends VOLUME R, and volumes a limit R; work-out then tells lines part VOLUME HOST R, whole thousandths that add up to the limit, none below a quarter of an even part.

--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -4,10 +4,10 @@
 use mallowseam_settings::lines::{Args, At, Problems, words};
 use mallowseam_settings::{change, edit};
 use mallowseam_shares::bound;
-use mallowseam_shares::choose::choose;
+use mallowseam_shares::choose::{choose, parts};
 use mallowseam_shares::conflict::explain as contradict;
 use mallowseam_shares::improve::Improve;
-use mallowseam_shares::model::{MOST, Node, Problem, SCALE, Volume};
+use mallowseam_shares::model::{Host, MOST, Node, Problem, SCALE, Volume};
 use mallowseam_shares::moves;
 use mallowseam_shares::search::{Answer, solve};
 use mallowseam_shares::value::{Placement, Worth, fits, gain_of, worth};
@@ -19,6 +19,8 @@
 /// Steps of the exact search before a large problem goes on by moves, and moves between two looks at the time.
 const EXACT_STEPS: u64 = 300_000;
 const MOVES: u64 = 2_000;
+/// No host's part of a limit is dealt below these thousandths of an even one: as much as hosts never lend.
+const PART_LEAST: u64 = 250;
 /// What a unit's gain is multiplied by inside: thousandths of units and of price, parts of a hundred, `SCALE`.
 const GAIN: f64 = 1000.0 * 1000.0 * 100.0 * SCALE as f64;
 
@@ -36,6 +38,7 @@
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
     let mut problems = Problems::new(&name);
     let (mut nodes, mut volumes): (Vec<Node>, Vec<Volume>) = (Vec::new(), Vec::new());
+    let mut hosts: Vec<Host> = Vec::new();
     let mut places: Vec<(String, At)> = Vec::new();
     let mut section = "";
     for (i, line) in text.lines().enumerate() {
@@ -48,8 +51,9 @@
             section = match word.as_str() {
                 "node" => "node",
                 "volume" => "volume",
+                "host" => "host",
                 other => {
-                    problems.add(at, "a section: node or volume", format!("`{other}`"));
+                    problems.add(at, "a section: node, volume or host", format!("`{other}`"));
                     ""
                 }
             };
@@ -63,6 +67,11 @@
             places.push((name.text.clone(), at));
             if section == "node" {
                 nodes.push(Node { name: name.text, ..Node::default() });
+            } else if section == "host" {
+                if hosts.iter().any(|h| h.name == name.text) {
+                    problems.add(at, "one host of this name", format!("`{}`", name.text));
+                }
+                hosts.push(Host { name: name.text, ..Host::default() });
             } else {
                 let volume =
                     Volume { name: name.text, weight: 1, price: 1000, spread: 1, ..Volume::default() };
@@ -72,6 +81,7 @@
         }
         let known = match section {
             "node" => node(nodes.last_mut().expect("open"), &word, &mut args),
+            "host" => host(hosts.last_mut().expect("open"), &word, &mut args),
             "volume" => volume(volumes.last_mut().expect("open"), &word, &mut args),
             _ => true,
         };
@@ -87,7 +97,12 @@
     if !problems.is_empty() {
         return Err(problems.sorted().to_string());
     }
-    Problem::new(nodes, volumes).map_err(|wrong| {
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    let strange = |n: &&String| !volumes.iter().any(|v| v.name == **n);
+    if let Some(name) = hosts.iter().flat_map(|h| h.sends.keys()).find(strange) {
+        return Err(format!("{}: a host sends to volume {name}, which the file lacks", file.display()));
+    }
+    Problem::new(nodes, volumes).map(|p| Problem { hosts, ..p }).map_err(|wrong| {
         for w in wrong {
             let at = places.iter().find(|p| p.0 == w.name).map_or(At { line: 1, column: 1 }, |p| p.1);
             problems.add(at, w.expected, format!("`{}`", w.name));
@@ -108,10 +123,21 @@
     true
 }
 
+fn host(host: &mut Host, word: &str, args: &mut Args) -> bool {
+    if word != "sends" {
+        return false;
+    }
+    if let (Some(volume), Some(rate)) = (args.name("the name of a volume"), args.exact_rate(RATE)) {
+        host.sends.insert(volume.text, rate);
+    }
+    true
+}
+
 fn volume(v: &mut Volume, word: &str, args: &mut Args) -> bool {
     match word {
         "reserve" => v.reserve = args.exact_rate(RATE).unwrap_or(0),
         "reserve-most" => v.reserve_most = args.exact_rate(RATE).unwrap_or(0),
+        "limit" => v.limit = args.exact_rate(RATE).unwrap_or(0),
         "surge" => v.surge = args.exact_rate(RATE).unwrap_or(0),
         "weight" => v.weight = args.whole("a whole number", 0, MOST).unwrap_or(0),
         "price" => v.price = args.whole("thousandths, 1000 for the plain price", 0, MOST).unwrap_or(0),
@@ -197,6 +223,12 @@
     for (v, (reserve, weight)) in p.volumes.iter().zip(chosen.reserves.iter().zip(&chosen.weights)) {
         writeln!(out, "share {} reserve {} weight {weight}", v.name, rate(*reserve)).expect("memory");
     }
+    for v in p.volumes.iter().filter(|v| v.limit > 0 && !p.hosts.is_empty()) {
+        let sent: Vec<u64> = p.hosts.iter().map(|h| h.sends.get(&v.name).copied().unwrap_or(0)).collect();
+        for (host, part) in p.hosts.iter().zip(parts(v.limit, &sent, PART_LEAST)) {
+            writeln!(out, "part {} {} {}", v.name, host.name, rate(part)).expect("memory");
+        }
+    }
     if chosen.gain > chosen.before {
         let gain = |g: i128| g as f64 / GAIN;
         writeln!(
@@ -240,8 +272,12 @@
         let words = words(i + 1, line, &mut problems);
         let Some(first) = words.first() else { continue };
         let (start, what) = (first.at, first.text.clone());
+        if what == "part" {
+            // Parts are told for the operator; in service hosts lend them (`docs/living-plans.md`).
+            continue;
+        }
         if !matches!(what.as_str(), "place" | "share") {
-            problems.add(start, "place or share", format!("`{what}`"));
+            problems.add(start, "place, share or part", format!("`{what}`"));
             continue;
         }
         let mut args = Args::new(&words, &mut problems);
--- a/crates/lab/src/brute.rs
+++ b/crates/lab/src/brute.rs
@@ -25,6 +25,7 @@
             let spread = rng.random_range(1..=count.min(2));
             Volume {
                 reserve_most: 0,
+                limit: 0,
                 name: format!("v{i}"),
                 reserve,
                 surge: reserve + rng.random_range(0..3) * 4000,
--- a/crates/lab/tests/shares_cli.rs
+++ b/crates/lab/tests/shares_cli.rs
@@ -121,3 +121,18 @@
         "{told}"
     );
 }
+
+#[test]
+fn limits_are_dealt_to_hosts_by_what_they_send_and_add_up() {
+    let hosts = "host h1\n  sends tax 8/s\nhost h2\n  sends tax 1/s\nhost h3\n";
+    let problem = PROBLEM.replace("volume tax\n", "volume tax\n  limit 9/s\n") + hosts;
+    let (code, answer) = shares("work-out", &[&problem]);
+    assert_eq!(code, 0, "{answer}");
+    for part in ["part tax h1 6.750/s", "part tax h2 1.500/s", "part tax h3 0.750/s"] {
+        assert!(answer.contains(part), "{part} in\n{answer}");
+    }
+    let (code, told) = shares("explain", &[&problem, &answer]);
+    assert_eq!(code, 0, "{told}");
+    let (code, told) = shares("work-out", &[&problem.replace("sends tax 1/s", "sends oil 1/s")]);
+    assert!(code == 2 && told.contains("volume oil, which the file lacks"), "{told}");
+}
--- a/crates/shares/src/model.rs
+++ b/crates/shares/src/model.rs
@@ -25,6 +25,8 @@
     pub reserve: u64,
     /// Its reserve may be chosen up to this; what is less than the reserve leaves no choice.
     pub reserve_most: u64,
+    /// What it may use at most, over all hosts; 0: no limit.
+    pub limit: u64,
     /// All that it asks for in a surge, its reserve among it.
     pub surge: u64,
     pub weight: u64,
@@ -44,6 +46,13 @@
     pub today: BTreeSet<String>,
 }
 
+/// A host, with what it sends of each volume.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Host {
+    pub name: String,
+    pub sends: std::collections::BTreeMap<String, u64>,
+}
+
 /// What is wrong with a problem: whose, and what was expected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Wrong {
@@ -62,6 +71,8 @@
 pub struct Problem {
     pub nodes: Vec<Node>,
     pub volumes: Vec<Volume>,
+    /// They decide nothing of a placement; limits are dealt to them.
+    pub hosts: Vec<Host>,
 }
 
 impl Problem {
@@ -85,7 +96,10 @@
             }
         }
         for v in &volumes {
-            if [v.reserve, v.reserve_most, v.surge, v.weight, v.price, v.size].iter().any(|n| *n > MOST) {
+            if [v.reserve, v.reserve_most, v.limit, v.surge, v.weight, v.price, v.size]
+                .iter()
+                .any(|n| *n > MOST)
+            {
                 add(&v.name, "numbers up to a million million");
             }
             if v.spread == 0 || v.spread > SPREAD_MOST {
@@ -104,7 +118,7 @@
                 add(&v.name, &format!("to lie on nodes of the problem, not on `{gone}`"));
             }
         }
-        if wrong.is_empty() { Ok(Problem { nodes, volumes }) } else { Err(wrong) }
+        if wrong.is_empty() { Ok(Problem { nodes, volumes, hosts: Vec::new() }) } else { Err(wrong) }
     }
 
     /// The node sets that a volume's own wishes allow, in order of names.
