One piece for lines of JSON: catalog, control service and both of their clients

The catalog and the control service each had their own accepting, reading, bounding and dropping of hosts, and hosts their own splitting of lines for each of the two services; opening a listener and a control socket stood three times.

lines.rs has one side of such a connection (Lines) and a service's side of many (Peers), with the bounds given by each service; run.rs opens listeners and control sockets for all three processes.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,10 +1,9 @@
 //! The catalog's process: keeps the tree, tells hosts of its changes, has nodes close and give back.
 use crate::clock::{Clock, millis, span};
 use crate::control::{self, Control};
+use crate::lines::{Bounds, Peer, Peers};
 use crate::nodes::{Nodes, Order};
-use crate::run::{Failure, failure, signals};
-use crate::slots::Slots;
-use crate::wire::{self, Tried};
+use crate::run::{self, Failure, failure, signals};
 use mallowseam_catalog::Catalog;
 use mallowseam_cow::cache::{layer_of, settle};
 use mallowseam_cow::cut::{Cut, Failed, Turn, leave};
@@ -16,8 +15,8 @@
 use mallowseam_iscsi::scsi;
 use mallowseam_scheduler::host::{Ending, Tick};
 use mallowseam_settings::Site;
-use mio::net::{TcpListener, TcpStream, UnixStream};
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::net::UnixStream;
+use mio::{Events, Poll, Token};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 
@@ -28,30 +27,13 @@
 const NODES: usize = CALLERS + control::MOST;
 const SCRATCH: usize = 64 * 1024;
 /// Longest line of a host, and bytes that may wait for one: a host that takes nothing is dropped.
-const LINE_MOST: usize = 64 * 1024;
-const WAITING_MOST: usize = 128 << 20;
+const BOUNDS: Bounds = Bounds { longest: 64 * 1024, waiting: 128 << 20 };
 /// Ticks a node has to close a layer or give a place back, and between two looks at what is due.
 const ORDER_WITHIN: Tick = 20_000;
 const LOOK: Tick = 100;
 /// Ticks after which hosts that have not said that they are clear are asked again.
 const ASK_AGAIN: Tick = 2_000;
 
-struct Host {
-    socket: TcpStream,
-    name: String,
-    /// It has said hello and hears of every change from now on.
-    told: bool,
-    partial: Vec<u8>,
-    out: Vec<u8>,
-}
-
-impl Host {
-    fn say(&mut self, word: &ToHost) {
-        serde_json::to_writer(&mut self.out, word).expect("words are plain");
-        self.out.push(b'\n');
-    }
-}
-
 /// What a node was asked to do.
 enum Asked {
     Close(LayerId, u32),
@@ -76,12 +58,11 @@
     catalog: Catalog,
     leases: Leases,
     free: Free,
-    hosts: Slots<Host>,
+    /// With whether a host has said hello, and hears of every change from now on.
+    hosts: Peers<bool>,
     nodes: Nodes,
-    listener: TcpListener,
     control: Option<Control>,
     signals: UnixStream,
-    registry: Registry,
     hosts_from: usize,
     orders: BTreeMap<u32, (Asked, Tick)>,
     tag: u32,
@@ -132,17 +113,9 @@
         let settings = site.catalog.clone().ok_or_else(|| Failure::new("no section catalog".into()))?;
         let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
         let address = settings.listen.expect("checked");
-        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
-        poll.registry()
-            .register(&mut listener, LISTENER, Interest::READABLE)
-            .map_err(failure("poll".into()))?;
-        let control = match &settings.control {
-            Some(path) => Some(
-                Control::open(path, registry()?, CONTROL, CALLERS)
-                    .map_err(failure(format!("control {}", path.display())))?,
-            ),
-            None => None,
-        };
+        let hosts_from = NODES + site.nodes.len();
+        let hosts = Peers::open(address, poll, LISTENER, hosts_from, BOUNDS)?;
+        let control = run::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
         let catalog = Catalog::open(&settings.store)
             .map_err(|e| Failure::new(format!("{}: {e}", settings.store.display())))?;
         let initiator = format!("{}:catalog", site.host.target);
@@ -152,17 +125,15 @@
         let fresh = catalog.tree().version == 0;
         tracing::info!(listen = %address, version = catalog.tree().version, "catalog starts");
         let mut service = Service {
-            hosts_from: NODES + site.nodes.len(),
+            hosts_from,
             now,
             free: Free::of(catalog.tree()),
             catalog,
             leases: Leases::new(millis(now), fresh),
-            hosts: Slots::default(),
+            hosts,
             nodes,
-            listener,
             control,
             signals: signals(poll, SIGNALS).map_err(failure("signals".into()))?,
-            registry: registry()?,
             orders: BTreeMap::new(),
             tag: 0,
             opening: Vec::new(),
@@ -210,7 +181,7 @@
 
     fn ready(&mut self, token: Token, readable: bool) {
         match token {
-            LISTENER => self.accept(),
+            LISTENER => self.hosts.accept(),
             CONTROL => {
                 if let Some(control) = &mut self.control {
                     control.accept();
@@ -241,52 +212,14 @@
         }
     }
 
-    fn accept(&mut self) {
-        while let Ok((mut socket, peer)) = self.listener.accept() {
-            let _ = socket.set_nodelay(true);
-            let token = Token(self.hosts_from + self.hosts.next() as usize);
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            if self.registry.register(&mut socket, token, interest).is_ok() {
-                tracing::info!(%peer, "host connected");
-                let (name, partial, out) = Default::default();
-                let host = Host { socket, name, told: false, partial, out };
-                self.hosts.put(host);
-            }
-        }
-    }
-
-    fn drop_host(&mut self, at: u32, why: &str) {
-        if let Some(mut host) = self.hosts.take(at) {
-            let _ = self.registry.deregister(&mut host.socket);
-            tracing::info!(host = host.name, why, "host connection closed");
-        }
-    }
-
     fn read(&mut self, at: u32) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        while let Some(host) = self.hosts.get_mut(at) {
-            match wire::read(&mut host.socket, &mut scratch) {
-                Tried::Blocked => break,
-                Tried::Read(n) => {
-                    let mut rest = &scratch[..n];
-                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-                        let Some(host) = self.hosts.get_mut(at) else { break };
-                        host.partial.extend_from_slice(&rest[..end]);
-                        rest = &rest[end + 1..];
-                        let line = std::mem::take(&mut host.partial);
-                        match serde_json::from_slice(&line) {
-                            Ok(word) => self.heard(at, word),
-                            Err(e) => self.drop_host(at, &e.to_string()),
-                        }
-                    }
-                    if let Some(host) = self.hosts.get_mut(at) {
-                        host.partial.extend_from_slice(rest);
-                        if host.partial.len() > LINE_MOST {
-                            self.drop_host(at, "a line past 64 KiB");
-                        }
-                    }
+        while let Some(lines) = self.hosts.read(at, &mut scratch) {
+            for line in lines {
+                match serde_json::from_slice(&line) {
+                    Ok(word) => self.heard(at, word),
+                    Err(e) => self.hosts.lose(at, &e.to_string()),
                 }
-                Tried::Over(why) => self.drop_host(at, &why),
             }
         }
         self.scratch = scratch;
@@ -302,7 +235,7 @@
             }
             ToCatalog::Renew { sent, seen } => {
                 let span = self.leases.renew(&host.name, seen, now);
-                host.say(&ToHost::Lease { sent, span });
+                host.lines.say(&ToHost::Lease { sent, span });
             }
             ToCatalog::Seen { version } => self.leases.seen(&host.name, version),
             ToCatalog::Numbers { layer, count } => {
@@ -383,10 +316,9 @@
             }
         }
         for (hosts, word) in asks {
-            for at in self.hosts.indices() {
-                if self.hosts.get(at).is_some_and(|h| hosts.contains(&h.name)) {
-                    self.after(at, word.clone());
-                }
+            let of = |(at, host): (u32, &Peer<bool>)| hosts.contains(&host.name).then_some(at);
+            for at in self.hosts.iter().filter_map(of).collect::<Vec<_>>() {
+                self.after(at, word.clone());
             }
         }
     }
@@ -457,11 +389,7 @@
             self.step();
         }
         for (version, change) in (first..).zip(batch) {
-            for at in self.hosts.indices() {
-                if let Some(host) = self.hosts.get_mut(at).filter(|h| h.told) {
-                    host.say(&ToHost::Changed { version, change: change.clone() });
-                }
-            }
+            self.hosts.say_all(&ToHost::Changed { version, change }, |host| host.about);
         }
         self.greet();
         Ok(())
@@ -471,17 +399,17 @@
     fn greet(&mut self) {
         for (at, have) in std::mem::take(&mut self.hello) {
             let Some(host) = self.hosts.get_mut(at) else { continue };
-            host.told = true;
+            host.about = true;
             let id = self.catalog.id();
             let since = have.filter(|h| h.0 == id).and_then(|h| self.catalog.since(h.1));
             match since {
                 Some(missed) => {
                     for (version, change) in missed {
-                        host.say(&ToHost::Changed { version, change: change.clone() });
+                        host.lines.say(&ToHost::Changed { version, change: change.clone() });
                     }
-                    host.say(&ToHost::Going);
+                    host.lines.say(&ToHost::Going);
                 }
-                None => whole(id, self.catalog.tree()).for_each(|word| host.say(&word)),
+                None => whole(id, self.catalog.tree()).for_each(|word| host.lines.say(&word)),
             }
         }
     }
@@ -490,23 +418,13 @@
         for (at, text) in std::mem::take(&mut self.replies) {
             if at > u32::MAX / 2 {
                 if let Some(host) = self.hosts.get_mut(u32::MAX - at) {
-                    host.out.extend_from_slice(text.as_bytes());
-                    host.out.push(b'\n');
+                    host.lines.say_written(&text);
                 }
             } else if let Some(control) = &mut self.control {
                 control.answer(at, &text);
             }
         }
-        for at in self.hosts.indices() {
-            let Some(host) = self.hosts.get_mut(at) else { continue };
-            let mut over = (host.out.len() > WAITING_MOST).then(|| "takes nothing".to_owned());
-            if over.is_none() {
-                over = wire::push(&mut host.socket, &mut host.out).err();
-            }
-            if let Some(why) = over {
-                self.drop_host(at, &why);
-            }
-        }
+        self.hosts.push();
         if std::mem::take(&mut self.changed) {
             self.step();
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,12 +1,11 @@
 //! The connection to the control service of plans, and the copy of its plans kept for a start without it.
-use crate::wire::{self, Tried};
+use crate::lines::{Lines, Read};
 use mallowseam_plans::Millis;
 use mallowseam_plans::member::{Heard, Member, Wanted};
 use mallowseam_plans::state::State;
 use mallowseam_plans::trail::Trail;
 use mallowseam_plans::words::ToControl;
-use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
+use mio::{Registry, Token};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -19,9 +18,7 @@
     kept: Option<PathBuf>,
     registry: Registry,
     token: Token,
-    socket: Option<TcpStream>,
-    partial: Vec<u8>,
-    out: Vec<u8>,
+    lines: Option<Lines>,
     pub member: Member,
 }
 
@@ -44,31 +41,23 @@
     ) -> Self {
         let known = kept.as_deref().and_then(read_kept);
         let member = Member::new(host, volumes, known, now);
-        let (partial, out) = Default::default();
-        Follow { address, kept, registry, token, socket: None, partial, out, member }
+        Follow { address, kept, registry, token, lines: None, member }
     }
 
     pub fn say(&mut self, word: &ToControl) {
-        if self.socket.is_some() {
-            serde_json::to_writer(&mut self.out, word).expect("words are plain");
-            self.out.push(b'\n');
+        if let Some(lines) = &mut self.lines {
+            lines.say(word);
         }
     }
 
     /// Connects if that is due, and writes what waits.
     pub fn tend(&mut self, now: Millis, chance: u64) {
-        if self.socket.is_none() && self.member.connects(now, chance) {
-            match TcpStream::connect(self.address) {
-                Ok(mut socket) => {
-                    let _ = socket.set_nodelay(true);
-                    let interest = Interest::READABLE | Interest::WRITABLE;
-                    if self.registry.register(&mut socket, self.token, interest).is_ok() {
-                        self.socket = Some(socket);
-                        self.partial.clear();
-                        self.out.clear();
-                        let hello = self.member.hello();
-                        self.say(&hello);
-                    }
+        if self.lines.is_none() && self.member.connects(now, chance) {
+            match Lines::connect(self.address, &self.registry, self.token) {
+                Ok(lines) => {
+                    self.lines = Some(lines);
+                    let hello = self.member.hello();
+                    self.say(&hello);
                 }
                 Err(e) => tracing::debug!(error = %e, "control service"),
             }
@@ -77,16 +66,14 @@
     }
 
     fn flush(&mut self) {
-        if let Some(socket) = &mut self.socket
-            && let Err(why) = wire::push(socket, &mut self.out)
-        {
+        if let Some(Err(why)) = self.lines.as_mut().map(Lines::push) {
             self.lose(&why);
         }
     }
 
     fn lose(&mut self, why: &str) {
-        if let Some(mut socket) = self.socket.take() {
-            let _ = self.registry.deregister(&mut socket);
+        if let Some(lines) = self.lines.take() {
+            lines.end(&self.registry);
             tracing::warn!(why, "control service lost; parts of limits fall back to even ones");
         }
     }
@@ -94,15 +81,16 @@
     /// Reads what has come. True: there is a state to be taken up.
     pub fn ready(&mut self, scratch: &mut [u8], wanted: &Wanted, now: Millis) -> bool {
         let mut state = false;
-        while let Some(socket) = &mut self.socket {
-            match wire::read(socket, scratch) {
-                Tried::Blocked => break,
-                Tried::Read(n) => {
-                    let mut rest = &scratch[..n];
-                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-                        self.partial.extend_from_slice(&rest[..end]);
-                        rest = &rest[end + 1..];
-                        let line = std::mem::take(&mut self.partial);
+        while let Some(lines) = &mut self.lines {
+            match lines.read(scratch, LINE_MOST) {
+                Read::Blocked => break,
+                Read::Over(why) => self.lose(&why),
+                Read::Lines(whole) => {
+                    for line in whole {
+                        // What came on a connection that is given up counts no more.
+                        if self.lines.is_none() {
+                            break;
+                        }
                         let heard = match serde_json::from_slice(&line) {
                             Ok(word) => self.member.heard(word, wanted, now),
                             Err(e) => Heard::Lost(e.to_string()),
@@ -114,12 +102,7 @@
                             Heard::Lost(why) => self.lose(&why),
                         }
                     }
-                    self.partial.extend_from_slice(rest);
-                    if self.partial.len() > LINE_MOST {
-                        self.lose("a line past 4 MiB");
-                    }
                 }
-                Tried::Over(why) => self.lose(&why),
             }
         }
         self.flush();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod desk;
 mod figures;
 mod follow;
+mod lines;
 mod list;
 mod map;
 mod nodes;
--- a/crates/gateway/src/map.rs
+++ b/crates/gateway/src/map.rs
@@ -1,11 +1,10 @@
 //! The connection to the catalog, and what this host knows of the tree.
-use crate::wire::{self, Tried};
+use crate::lines::{Lines, Read};
 use mallowseam_cow::Millis;
 use mallowseam_cow::cache::Cache;
 use mallowseam_cow::tree::LayerId;
 use mallowseam_cow::words::{ToCatalog, ToHost};
-use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
+use mio::{Registry, Token};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -20,10 +19,8 @@
     address: SocketAddr,
     registry: Registry,
     token: Token,
-    socket: Option<TcpStream>,
+    lines: Option<Lines>,
     readable: bool,
-    partial: Vec<u8>,
-    out: Vec<u8>,
     connect_at: Millis,
     pub cache: Cache,
     /// Counts up with everything that may let a waiting block I/O go on.
@@ -43,10 +40,8 @@
             address,
             registry,
             token,
-            socket: None,
+            lines: None,
             readable: false,
-            partial: Vec::new(),
-            out: Vec::new(),
             connect_at: 0,
             cache: Cache::default(),
             news: 0,
@@ -58,9 +53,8 @@
     }
 
     pub fn say(&mut self, word: &ToCatalog) {
-        if self.socket.is_some() {
-            serde_json::to_writer(&mut self.out, word).expect("words are plain");
-            self.out.push(b'\n');
+        if let Some(lines) = &mut self.lines {
+            lines.say(word);
         }
     }
 
@@ -71,25 +65,19 @@
 
     /// Connects, renews, and writes what waits.
     pub fn tend(&mut self, now: Millis) {
-        if self.socket.is_none() && now >= self.connect_at {
+        if self.lines.is_none() && now >= self.connect_at {
             self.connect_at = now + Cache::CONNECT_AGAIN;
-            match TcpStream::connect(self.address) {
-                Ok(mut socket) => {
-                    let _ = socket.set_nodelay(true);
-                    let interest = Interest::READABLE | Interest::WRITABLE;
-                    if self.registry.register(&mut socket, self.token, interest).is_ok() {
-                        self.socket = Some(socket);
-                        self.partial.clear();
-                        self.out.clear();
-                        self.asked.clear();
-                        let (host, have) = (self.host.clone(), self.cache.have());
-                        self.say(&ToCatalog::Hello { host, have });
-                    }
+            match Lines::connect(self.address, &self.registry, self.token) {
+                Ok(lines) => {
+                    self.lines = Some(lines);
+                    self.asked.clear();
+                    let (host, have) = (self.host.clone(), self.cache.have());
+                    self.say(&ToCatalog::Hello { host, have });
                 }
                 Err(e) => tracing::debug!(error = %e, "catalog"),
             }
         }
-        if self.socket.is_some() && self.cache.renews(now) {
+        if self.lines.is_some() && self.cache.renews(now) {
             let seen = self.cache.version().unwrap_or(0);
             self.say(&ToCatalog::Renew { sent: now, seen });
         }
@@ -106,15 +94,14 @@
     }
 
     pub fn flush(&mut self) {
-        let Some(socket) = &mut self.socket else { return };
-        if let Err(why) = wire::push(socket, &mut self.out) {
+        if let Some(Err(why)) = self.lines.as_mut().map(Lines::push) {
             self.lose(&why);
         }
     }
 
     fn lose(&mut self, why: &str) {
-        if let Some(mut socket) = self.socket.take() {
-            let _ = self.registry.deregister(&mut socket);
+        if let Some(lines) = self.lines.take() {
+            lines.end(&self.registry);
             tracing::warn!(why, "catalog connection lost");
         }
         self.cache.lost();
@@ -128,29 +115,25 @@
             if !self.readable {
                 break;
             }
-            let Some(socket) = &mut self.socket else {
+            let Some(lines) = &mut self.lines else {
                 self.readable = false;
                 break;
             };
-            match wire::read(socket, scratch) {
-                Tried::Blocked => self.readable = false,
-                Tried::Read(n) => {
-                    let mut rest = &scratch[..n];
-                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-                        self.partial.extend_from_slice(&rest[..end]);
-                        rest = &rest[end + 1..];
-                        let line = std::mem::take(&mut self.partial);
+            match lines.read(scratch, LINE_MOST) {
+                Read::Blocked => self.readable = false,
+                Read::Over(why) => self.lose(&why),
+                Read::Lines(whole) => {
+                    for line in whole {
+                        // What came on a connection that is given up counts no more.
+                        if self.lines.is_none() {
+                            break;
+                        }
                         match serde_json::from_slice(&line) {
                             Ok(word) => self.heard(word, now),
                             Err(e) => self.lose(&e.to_string()),
                         }
                     }
-                    self.partial.extend_from_slice(rest);
-                    if self.partial.len() > LINE_MOST {
-                        self.lose("a line past 32 MiB");
-                    }
                 }
-                Tried::Over(why) => self.lose(&why),
             }
         }
         self.flush();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,11 +20,13 @@
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_settings::{Site, change};
 use mio::net::{TcpListener, UnixStream};
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Interest, Poll, Registry, Token};
 use rand::Rng;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{self, ErrorKind, Read};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 
 const LISTENER: Token = Token(0);
@@ -63,6 +65,31 @@
     move |e| Failure(format!("{what}: {e}"))
 }
 
+/// A listener that the loop watches, and a handle to register what comes of it.
+pub(crate) fn listen(
+    address: SocketAddr,
+    poll: &Poll,
+    token: Token,
+) -> Result<(TcpListener, Registry), Failure> {
+    let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
+    let registry = poll.registry().try_clone().map_err(failure("poll".into()))?;
+    registry.register(&mut listener, token, Interest::READABLE).map_err(failure("poll".into()))?;
+    Ok((listener, registry))
+}
+
+/// The control socket, where the configuration has one.
+pub(crate) fn control(
+    path: Option<&Path>,
+    poll: &Poll,
+    own: Token,
+    first: usize,
+) -> Result<Option<Control>, Failure> {
+    let Some(path) = path else { return Ok(None) };
+    let registry = poll.registry().try_clone().map_err(failure("poll".into()))?;
+    let opened = Control::open(path, registry, own, first);
+    opened.map(Some).map_err(failure(format!("control {}", path.display())))
+}
+
 /// Whose turn it is to be read from.
 #[derive(Clone, Copy, PartialEq)]
 enum Turn {
@@ -119,18 +146,9 @@
     fn open(site: Site, poll: &Poll) -> Result<Self, Failure> {
         let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
         let address = site.host.listen.expect("checked");
-        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
+        let (listener, _) = listen(address, poll, LISTENER)?;
         let bound = listener.local_addr().map_err(failure(format!("listen {address}")))?;
-        poll.registry()
-            .register(&mut listener, LISTENER, Interest::READABLE)
-            .map_err(failure("poll".into()))?;
-        let control = match &site.host.control {
-            Some(path) => Some(
-                Control::open(path, registry()?, CONTROL, CALLERS)
-                    .map_err(failure(format!("control {}", path.display())))?,
-            ),
-            None => None,
-        };
+        let control = control(site.host.control.as_deref(), poll, CONTROL, CALLERS)?;
         let signals = signals(poll, SIGNALS).map_err(failure("signals".into()))?;
         let digests = Digests { header: site.host.header_digest, data: site.host.data_digest };
         let wishes = Wishes { digests, ..Wishes::default() };
--- a/crates/gateway/src/tariffs.rs
+++ b/crates/gateway/src/tariffs.rs
@@ -1,10 +1,9 @@
 //! The control service of plans: keeps the trail, streams versions to hosts, deals what they lend.
 use crate::clock::{Clock, millis};
 use crate::control::{self, Control};
-use crate::run::{Failure, failure, signals};
-use crate::slots::Slots;
+use crate::lines::{Bounds, Peer, Peers};
+use crate::run::{self, Failure, failure, signals};
 use crate::terms;
-use crate::wire::{self, Tried};
 use mallowseam_plans::deal::{ASK, GRANT, Pool};
 use mallowseam_plans::force::{Hosts, Waits};
 use mallowseam_plans::state::{Change, Plan, State};
@@ -13,8 +12,8 @@
 use mallowseam_plans::{Millis, Units};
 use mallowseam_settings::Site;
 use mallowseam_trail::Store;
-use mio::net::{TcpListener, TcpStream, UnixStream};
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::net::UnixStream;
+use mio::{Events, Poll, Token};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 use std::time::Duration;
@@ -25,8 +24,7 @@
 const CALLERS: usize = 3;
 const MEMBERS: usize = CALLERS + control::MOST;
 /// Longest line of a host, and bytes that may wait for one: a host that takes nothing is dropped.
-const LINE_MOST: usize = 1 << 20;
-const WAITING_MOST: usize = 32 << 20;
+const BOUNDS: Bounds = Bounds { longest: 1 << 20, waiting: 32 << 20 };
 /// Lines sent to a host that comes back, at most; one that lacks more gets the whole state.
 const CATCH_UP: u64 = 256;
 /// Milliseconds between two looks at what is due.
@@ -34,22 +32,6 @@
 /// An operator waits for a version to be in force for no longer.
 const WAIT_MOST: Millis = 12_000;
 
-struct Peer {
-    socket: TcpStream,
-    name: String,
-    /// Its place among those that lend and borrow, the same over all its connections.
-    number: u32,
-    partial: Vec<u8>,
-    out: Vec<u8>,
-}
-
-impl Peer {
-    fn say(&mut self, word: &ToMember) {
-        serde_json::to_writer(&mut self.out, word).expect("words are plain");
-        self.out.push(b'\n');
-    }
-}
-
 struct Service {
     clock: Clock,
     now: Millis,
@@ -59,11 +41,10 @@
     pools: BTreeMap<String, Pool>,
     started: Millis,
     fresh: bool,
-    peers: Slots<Peer>,
-    listener: TcpListener,
+    /// With the place of each among those that lend and borrow, the same over all its connections.
+    peers: Peers<u32>,
     control: Option<Control>,
     signals: UnixStream,
-    registry: Registry,
     waits: Vec<(u32, u64, Millis)>,
     asked: Millis,
     stops: bool,
@@ -94,19 +75,9 @@
 impl Service {
     fn open(site: &Site, poll: &Poll) -> Result<Self, Failure> {
         let settings = site.tariffs.clone().ok_or_else(|| Failure::new("no section tariffs".into()))?;
-        let registry = || poll.registry().try_clone().map_err(failure("poll".into()));
         let address = settings.listen.expect("checked");
-        let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
-        poll.registry()
-            .register(&mut listener, LISTENER, Interest::READABLE)
-            .map_err(failure("poll".into()))?;
-        let control = match &settings.control {
-            Some(path) => Some(
-                Control::open(path, registry()?, CONTROL, CALLERS)
-                    .map_err(failure(format!("control {}", path.display())))?,
-            ),
-            None => None,
-        };
+        let peers = Peers::open(address, poll, LISTENER, MEMBERS, BOUNDS)?;
+        let control = run::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
         let said = |e: mallowseam_trail::Fault| Failure::new(format!("{}: {e}", settings.store.display()));
         let mut store = Store::open(&settings.store).map_err(said)?;
         let fresh = store.trail().state.version == 0;
@@ -140,11 +111,9 @@
             pools: BTreeMap::new(),
             started: now,
             fresh,
-            peers: Slots::default(),
-            listener,
+            peers,
             control,
             signals: signals(poll, SIGNALS).map_err(failure("signals".into()))?,
-            registry: registry()?,
             waits: Vec::new(),
             asked: now,
             stops: false,
@@ -159,7 +128,7 @@
 
     fn ready(&mut self, token: Token) -> Result<(), Failure> {
         match token {
-            LISTENER => self.accept(),
+            LISTENER => self.peers.accept(),
             CONTROL => {
                 if let Some(control) = &mut self.control {
                     control.accept();
@@ -183,51 +152,14 @@
         Ok(())
     }
 
-    fn accept(&mut self) {
-        while let Ok((mut socket, peer)) = self.listener.accept() {
-            let _ = socket.set_nodelay(true);
-            let token = Token(MEMBERS + self.peers.next() as usize);
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            if self.registry.register(&mut socket, token, interest).is_ok() {
-                tracing::info!(%peer, "host connected");
-                let (name, partial, out) = Default::default();
-                self.peers.put(Peer { socket, name, number: u32::MAX, partial, out });
-            }
-        }
-    }
-
-    fn drop_peer(&mut self, at: u32, why: &str) {
-        if let Some(mut peer) = self.peers.take(at) {
-            let _ = self.registry.deregister(&mut peer.socket);
-            tracing::info!(host = peer.name, why, "host connection closed");
-        }
-    }
-
     fn read(&mut self, at: u32) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        while let Some(peer) = self.peers.get_mut(at) {
-            match wire::read(&mut peer.socket, &mut scratch) {
-                Tried::Blocked => break,
-                Tried::Read(n) => {
-                    let mut rest = &scratch[..n];
-                    while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-                        let Some(peer) = self.peers.get_mut(at) else { break };
-                        peer.partial.extend_from_slice(&rest[..end]);
-                        rest = &rest[end + 1..];
-                        let line = std::mem::take(&mut peer.partial);
-                        match serde_json::from_slice(&line) {
-                            Ok(word) => self.heard(at, word),
-                            Err(e) => self.drop_peer(at, &e.to_string()),
-                        }
-                    }
-                    if let Some(peer) = self.peers.get_mut(at) {
-                        peer.partial.extend_from_slice(rest);
-                        if peer.partial.len() > LINE_MOST {
-                            self.drop_peer(at, "a line past 1 MiB");
-                        }
-                    }
+        while let Some(lines) = self.peers.read(at, &mut scratch) {
+            for line in lines {
+                match serde_json::from_slice(&line) {
+                    Ok(word) => self.heard(at, word),
+                    Err(e) => self.peers.lose(at, &e.to_string()),
                 }
-                Tried::Over(why) => self.drop_peer(at, &why),
             }
         }
         self.scratch = scratch;
@@ -241,19 +173,19 @@
                 && let Err(e) = self.store.member(&host, true)
             {
                 // It would be forgotten by the next start, and a version be taken for in force without it.
-                return self.drop_peer(at, &e.to_string());
+                return self.peers.lose(at, &e.to_string());
             }
             let next = self.numbers.len() as u32;
-            peer.number = *self.numbers.entry(host.clone()).or_insert(next);
+            peer.about = *self.numbers.entry(host.clone()).or_insert(next);
             peer.name.clone_from(&host);
             self.hosts.joined(&host, now);
             self.hosts.acts_on(&host, version, now);
             return self.catch_up(at, version, &last);
         }
         if peer.name.is_empty() {
-            return self.drop_peer(at, "expected hello first");
+            return self.peers.lose(at, "expected hello first");
         }
-        let (host, number) = (peer.name.clone(), peer.number);
+        let (host, number) = (peer.name.clone(), peer.about);
         match word {
             ToControl::Hello { .. } => {}
             ToControl::ActsOn { version } => {
@@ -282,7 +214,7 @@
                     }
                 }
                 if let Some(peer) = self.peers.get_mut(at).filter(|_| !granted.is_empty()) {
-                    peer.say(&ToMember::Granted { sent, span: GRANT, volumes: granted });
+                    peer.lines.say(&ToMember::Granted { sent, span: GRANT, volumes: granted });
                 }
             }
         }
@@ -298,19 +230,15 @@
         let (state, last) = (self.store.trail().state.clone(), self.store.trail().last().to_owned());
         let Some(peer) = self.peers.get_mut(at) else { return };
         match lines {
-            Some(lines) => lines.into_iter().for_each(|text| peer.say(&ToMember::Line { text })),
-            None => peer.say(&ToMember::Whole { state: Box::new(state), last }),
+            Some(lines) => lines.into_iter().for_each(|text| peer.lines.say(&ToMember::Line { text })),
+            None => peer.lines.say(&ToMember::Whole { state: Box::new(state), last }),
         }
     }
 
     fn round(&mut self) {
         if self.now >= self.asked + ASK {
             self.asked = self.now;
-            for at in self.peers.indices() {
-                if let Some(peer) = self.peers.get_mut(at).filter(|p| !p.name.is_empty()) {
-                    peer.say(&ToMember::Ask { asked: self.now });
-                }
-            }
+            self.peers.say_all(&ToMember::Ask { asked: self.now }, known);
         }
         for (caller, version, until) in std::mem::take(&mut self.waits) {
             let waits = self.hosts.waits(version, self.now);
@@ -326,16 +254,7 @@
                 control.answer(caller, &text);
             }
         }
-        for at in self.peers.indices() {
-            let Some(peer) = self.peers.get_mut(at) else { continue };
-            let mut over = (peer.out.len() > WAITING_MOST).then(|| "takes nothing".to_owned());
-            if over.is_none() {
-                over = wire::push(&mut peer.socket, &mut peer.out).err();
-            }
-            if let Some(why) = over {
-                self.drop_peer(at, &why);
-            }
-        }
+        self.peers.push();
     }
 
     /// A line on the control socket: one JSON object. None: the answer comes later.
@@ -376,11 +295,7 @@
                 if lowers {
                     self.hosts.lowers(line.version);
                 }
-                for at in self.peers.indices() {
-                    if let Some(peer) = self.peers.get_mut(at).filter(|p| !p.name.is_empty()) {
-                        peer.say(&ToMember::Line { text: text.clone() });
-                    }
-                }
+                self.peers.say_all(&ToMember::Line { text }, known);
                 if !wait {
                     return Ok(Some(format!("version {}", line.version)));
                 }
@@ -483,6 +398,11 @@
     Replay,
 }
 
+/// A host that has said hello.
+fn known(peer: &Peer<u32>) -> bool {
+    !peer.name.is_empty()
+}
+
 /// Seconds since 1970, for readers of the trail.
 fn wall() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
