A host's parts by its own volumes' order; a host that comes back is caught up without a replay

Every turn of a host's loop looked each limited volume up by name and told the scheduler a part that was the same, and status looked them up once more; a host that came back had the service replay up to 1,024 lines to compare one hash.

Members keep their volumes in the host's order, and the scheduler is told of a part when it is another one. Each trail line bears the hash of the one before it, so the first line that a host lacks says whether its last one is ours. The store's newest state is its state up to any version; Hosts::heard and joined were one thing; kept plans and apply put files in place by the list's replace; CommandStatus was Answers again. A caller too many is told so with a whole answer, which the new ending had broken.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,4 +1,5 @@
 //! The control socket: one line in, one JSON object out.
+use crate::figures::Answers;
 use crate::slots::Slots;
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
@@ -23,7 +24,7 @@
     pub buffer_bytes: usize,
     pub list_epoch: u64,
     pub list_version: u64,
-    pub commands: CommandStatus,
+    pub commands: Answers,
     pub groups: Vec<GroupStatus>,
     pub nodes: Vec<NodeStatus>,
     #[serde(default)]
@@ -52,15 +53,6 @@
     pub weight: f64,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct CommandStatus {
-    pub taken: u64,
-    pub ended: u64,
-    pub shed: u64,
-    pub failed: u64,
-    pub left: u64,
-}
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GroupStatus {
     pub name: String,
@@ -233,7 +225,7 @@
     pub fn accept(&mut self) {
         while let Ok((mut socket, _)) = self.listener.accept() {
             if self.callers.len() >= MOST {
-                let _ = socket.write(b"error: too many callers\n");
+                let _ = socket.write(format!("error: too many callers{WHOLE}").as_bytes());
                 continue;
             }
             let token = Token(self.first + self.callers.next() as usize);
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -1,11 +1,12 @@
 //! What a host counts, for status and logs.
 use hdrhistogram::Histogram;
 use mallowseam_scheduler::host::Ending;
+use serde::{Deserialize, Serialize};
 
 /// Longest wait told apart: an hour in microseconds.
 const LONGEST: u64 = 3_600_000_000;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Answers {
     pub taken: u64,
     pub ended: u64,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,12 +1,12 @@
 //! The connection to the control service of plans, and the copy of its plans kept for a start without it.
 use crate::lines::{Lines, Read};
-use mallowseam_plans::Millis;
-use mallowseam_plans::member::{Heard, Member, Wanted};
+use crate::list::replace;
+use mallowseam_plans::member::{Heard, Member};
 use mallowseam_plans::state::State;
 use mallowseam_plans::trail::Trail;
 use mallowseam_plans::words::ToControl;
+use mallowseam_plans::{Millis, Units};
 use mio::{Registry, Token};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -34,7 +34,7 @@
         host: &str,
         address: SocketAddr,
         kept: Option<PathBuf>,
-        volumes: BTreeMap<String, u32>,
+        volumes: Vec<(String, u32)>,
         registry: Registry,
         token: Token,
         now: Millis,
@@ -79,7 +79,7 @@
     }
 
     /// Reads what has come. True: there is a state to be taken up.
-    pub fn ready(&mut self, scratch: &mut [u8], wanted: &Wanted, now: Millis) -> bool {
+    pub fn ready(&mut self, scratch: &mut [u8], wanted: &[Units], now: Millis) -> bool {
         let mut state = false;
         while let Some(lines) = &mut self.lines {
             match lines.read(scratch, LINE_MOST) {
@@ -144,7 +144,5 @@
 
 fn write_kept(path: &Path, trail: &Trail) -> std::io::Result<()> {
     let kept = Kept { state: trail.state.clone(), last: trail.last().to_owned() };
-    let beside = path.with_extension("new");
-    std::fs::write(&beside, serde_json::to_string(&kept).map_err(std::io::Error::other)?)?;
-    std::fs::rename(&beside, path)
+    replace(path, serde_json::to_string(&kept).map_err(std::io::Error::other)?.as_bytes())
 }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -243,7 +243,7 @@
 }
 
 /// Puts a file in place whole, or leaves the old one.
-fn replace(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+pub(crate) fn replace(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
     let fresh = path.with_extension("new");
     std::fs::write(&fresh, bytes)?;
     std::fs::rename(&fresh, path)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,11 +1,8 @@
 //! The event loop: one thread, every decision the scheduler's or a conduct module's.
 use crate::clients::Clients;
 use crate::clock::{Clock, millis, span};
-use crate::control::{
-    self, CommandStatus, Control, GroupStatus, NodeStatus, PlanStatus, Status, VolumeStatus,
-};
+use crate::control::{self, Control, GroupStatus, NodeStatus, PlanStatus, Status, VolumeStatus};
 use crate::desk::Desk;
-use crate::figures::VolumeFigures;
 use crate::follow::Follow;
 use crate::list::List;
 use crate::map::Map;
@@ -15,7 +12,7 @@
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::target::TargetTerms;
-use mallowseam_plans::member::Wanted;
+use mallowseam_plans::Units;
 use mallowseam_scheduler::host::{NodeId, NodeState, Tick, VolId};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_settings::{Site, change};
@@ -105,8 +102,10 @@
     desk: Desk,
     list: List,
     follow: Option<Follow>,
+    /// The parts of limits that the scheduler keeps to, by volume.
+    parts: Vec<Option<Units>>,
     /// What clients asked of each volume in the last span, a second; and the counts it began with.
-    wanted: Wanted,
+    wanted: Vec<Units>,
     counted: (Tick, Vec<f64>),
     listener: TcpListener,
     accepting: bool,
@@ -186,7 +185,8 @@
             desk: Desk::new(&site, clients, nodes, map),
             list,
             follow,
-            wanted: Wanted::new(),
+            parts: vec![None; site.volumes.len()],
+            wanted: vec![0; site.volumes.len()],
             counted: (0, vec![0.0; site.volumes.len()]),
             listener,
             accepting: false,
@@ -394,19 +394,18 @@
         let now = self.desk.now;
         if now >= self.counted.0 + COUNT {
             let span = (now - self.counted.0) as f64 / 10_000.0;
-            let figures = self.desk.figures.volumes.iter().zip(&mut self.counted.1);
-            for (v, (f, before)) in self.site.volumes.iter().zip(figures) {
-                let rate = ((f.asked - *before) / span * 1000.0) as u64;
+            let counts = self.desk.figures.volumes.iter().zip(&mut self.counted.1);
+            for (wanted, (f, before)) in self.wanted.iter_mut().zip(counts) {
+                *wanted = ((f.asked - *before) / span * 1000.0) as Units;
                 *before = f.asked;
-                self.wanted.insert(v.name.clone(), rate);
             }
             self.counted.0 = now;
             follow.tend(millis(now), rand::rng().next_u64() % 1_000);
         }
-        for (name, part) in follow.member.parts(millis(now)) {
-            if let Some(at) = self.site.volumes.iter().position(|v| v.name == name) {
-                self.scheduler.parted(now, VolId(at as u32), Some(part as f64 / 1000.0));
-            }
+        let parts = follow.member.parts(millis(now)).zip(&mut self.parts);
+        for (at, (part, kept)) in parts.enumerate().filter(|(_, (part, kept))| part != *kept) {
+            *kept = part;
+            self.scheduler.parted(now, VolId(at as u32), part.map(|p| p as f64 / 1000.0));
         }
     }
 
@@ -414,33 +413,13 @@
     fn take_up_next(&mut self) {
         let Some(follow) = &self.follow else { return };
         let Some(state) = follow.member.next() else { return };
-        let taken = self.of_state(state);
+        let taken = self.of_state(state).map(|taken| self.put(taken));
+        let Some(follow) = &mut self.follow else { return };
         match taken {
-            Ok(taken) => {
-                self.put(taken);
-                let now = millis(self.desk.now);
-                if let Some(follow) = &mut self.follow {
-                    follow.acts_on(now);
-                }
-                // What has no limit any more has no part of one.
-                let parted: Vec<String> = self
-                    .follow
-                    .iter()
-                    .flat_map(|f| f.member.parts(millis(self.desk.now)).map(|p| p.0.to_owned()))
-                    .collect();
-                for (at, v) in self.site.volumes.iter().enumerate() {
-                    if !parted.contains(&v.name) {
-                        self.scheduler.parted(self.desk.now, VolId(at as u32), None);
-                    }
-                }
-                self.tend_follow();
-            }
-            Err(why) => {
-                if let Some(follow) = &mut self.follow {
-                    follow.against(&why);
-                }
-            }
+            Ok(()) => follow.acts_on(millis(self.desk.now)),
+            Err(why) => follow.against(&why),
         }
+        self.tend_follow();
     }
 
     /// What is to be taken up of a state of plans. Error: a volume of this host that has no plan in it.
@@ -526,14 +505,11 @@
     fn status(&self) -> Status {
         let desk = &self.desk;
         let (list_epoch, list_version) = self.list.known();
-        let volume = |(v, f): (&mallowseam_settings::site::Volume, &VolumeFigures)| VolumeStatus {
+        let volume = |(at, v): (usize, &mallowseam_settings::site::Volume)| VolumeStatus {
             name: v.name.clone(),
-            asked_units: f.asked,
-            ended_units: f.ended,
-            part: self.follow.as_ref().and_then(|follow| {
-                let mut parts = follow.member.parts(millis(desk.now));
-                parts.find(|p| p.0 == v.name).map(|p| p.1 as f64 / 1000.0)
-            }),
+            asked_units: desk.figures.volumes[at].asked,
+            ended_units: desk.figures.volumes[at].ended,
+            part: self.parts[at].map(|p| p as f64 / 1000.0),
         };
         let plan = |p: &mallowseam_settings::site::Plan| PlanStatus {
             name: p.name.clone(),
@@ -575,7 +551,6 @@
                 cancelled: f.cancelled,
             }
         };
-        let c = &desk.figures.commands;
         Status {
             host: self.site.host.name.clone(),
             up_seconds: millis(desk.now) as f64 / 1000.0,
@@ -585,17 +560,11 @@
             buffer_bytes: desk.clients.held(),
             list_epoch,
             list_version,
-            commands: CommandStatus {
-                taken: c.taken,
-                ended: c.ended,
-                shed: c.shed,
-                failed: c.failed,
-                left: c.left,
-            },
+            commands: desk.figures.commands,
             groups: self.site.groups.iter().zip(&desk.figures.groups).map(group).collect(),
             nodes: desk.nodes.all.iter().enumerate().map(node).collect(),
             plans: self.site.plans.iter().map(plan).collect(),
-            volumes: self.site.volumes.iter().zip(&desk.figures.volumes).map(volume).collect(),
+            volumes: self.site.volumes.iter().enumerate().map(volume).collect(),
         }
     }
 }
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -1,5 +1,6 @@
 //! `mallowseam shares`: problems and placements as files, and what is worked out told.
 use crate::demand;
+use crate::list::replace;
 use mallowseam_settings::edit::Share;
 use mallowseam_settings::lines::{Args, At, Problems, words};
 use mallowseam_settings::{change, edit};
@@ -353,10 +354,7 @@
         let taken = change::taken(&site, &wanted).map_err(|against| against.join("\n"))?;
         let told = if taken.told.is_empty() { "nothing is different".into() } else { taken.told.join("\n") };
         if write && !taken.told.is_empty() {
-            // Whole or not at all: a host that starts meanwhile reads the one or the other.
-            let beside = conf.with_extension("new");
-            std::fs::write(&beside, &edited).map_err(|e| format!("{}: {e}", beside.display()))?;
-            std::fs::rename(&beside, conf).map_err(|e| format!("{name}: {e}"))?;
+            replace(conf, edited.as_bytes()).map_err(|e| format!("{name}: {e}"))?;
             return Ok(format!("{told}\nwritten; `mallowseam reload {name}` has the host take it up"));
         }
         Ok(told)
--- a/crates/gateway/src/tariffs.rs
+++ b/crates/gateway/src/tariffs.rs
@@ -101,7 +101,7 @@
         let clock = Clock::start();
         let now = millis(clock.now());
         let mut hosts = Hosts::default();
-        store.members().map_err(said)?.iter().for_each(|host| hosts.joined(host, now));
+        store.members().map_err(said)?.iter().for_each(|host| hosts.heard(host, now));
         tracing::info!(listen = %address, version = store.trail().state.version, "control service starts");
         Ok(Service {
             now,
@@ -178,7 +178,7 @@
             let next = self.numbers.len() as u32;
             peer.about = *self.numbers.entry(host.clone()).or_insert(next);
             peer.name.clone_from(&host);
-            self.hosts.joined(&host, now);
+            self.hosts.heard(&host, now);
             self.hosts.acts_on(&host, version, now);
             return self.catch_up(at, version, &last);
         }
@@ -222,16 +222,21 @@
 
     /// Sends a host that has come what it lacks: lines where its last one is ours, else the whole state.
     fn catch_up(&mut self, at: u32, version: u64, last: &str) {
-        let newest = self.version();
-        let lacks = newest.checked_sub(version).filter(|n| *n <= CATCH_UP);
-        let ours = lacks.is_some()
-            && self.store.at(version).ok().flatten().is_some_and(|trail| trail.last() == last);
-        let lines = if ours { self.store.lines(version + 1, CATCH_UP as usize).ok() } else { None };
-        let (state, last) = (self.store.trail().state.clone(), self.store.trail().last().to_owned());
+        let trail = self.store.trail();
+        let lacks = trail.state.version.checked_sub(version).filter(|n| *n <= CATCH_UP);
+        let lines = lacks.and_then(|_| self.store.lines(version + 1, CATCH_UP as usize).ok());
+        // Each line bears the hash of the one before it.
+        let follows = |lines: &Vec<String>| match lines.first() {
+            Some(first) => serde_json::from_str::<Line>(first).is_ok_and(|line| line.after == last),
+            None => trail.last() == last,
+        };
         let Some(peer) = self.peers.get_mut(at) else { return };
-        match lines {
+        match lines.filter(follows) {
             Some(lines) => lines.into_iter().for_each(|text| peer.lines.say(&ToMember::Line { text })),
-            None => peer.lines.say(&ToMember::Whole { state: Box::new(state), last }),
+            None => {
+                let (state, last) = (Box::new(trail.state.clone()), trail.last().to_owned());
+                peer.lines.say(&ToMember::Whole { state, last });
+            }
         }
     }
 
--- a/crates/plans/src/force.rs
+++ b/crates/plans/src/force.rs
@@ -53,8 +53,8 @@
 }
 
 impl Hosts {
-    /// A host is a member; it acts on nothing yet.
-    pub fn joined(&mut self, host: &str, now: Millis) {
+    /// A host has been heard of. One that is new is a member from now on, and acts on nothing yet.
+    pub fn heard(&mut self, host: &str, now: Millis) {
         let fresh = Host { acts_on: 0, since: now, heard: now, against: None, gone: false };
         let host = self.all.entry(host.to_owned()).or_insert(fresh);
         // One that was declared gone and is here is not gone.
@@ -70,15 +70,11 @@
         self.all.get(host).is_some_and(|h| !h.gone)
     }
 
-    pub fn heard(&mut self, host: &str, now: Millis) {
-        self.joined(host, now);
-    }
-
     /// A host acts on a version from now on. One that it says twice, or an older one, changes nothing: a host
     /// never goes back.
     pub fn acts_on(&mut self, host: &str, version: u64, now: Millis) {
-        self.joined(host, now);
-        let host = self.all.get_mut(host).expect("just joined");
+        self.heard(host, now);
+        let host = self.all.get_mut(host).expect("just heard");
         if version > host.acts_on {
             (host.acts_on, host.since) = (version, now);
             host.against = host.against.take().filter(|a| a.0 > version);
@@ -86,8 +82,8 @@
     }
 
     pub fn against(&mut self, host: &str, version: u64, why: &str, now: Millis) {
-        self.joined(host, now);
-        let host = self.all.get_mut(host).expect("just joined");
+        self.heard(host, now);
+        let host = self.all.get_mut(host).expect("just heard");
         if version > host.acts_on {
             host.against = Some((version, why.to_owned()));
         }
--- a/crates/plans/src/member.rs
+++ b/crates/plans/src/member.rs
@@ -4,7 +4,6 @@
 use crate::trail::{BEGINNING, Trail};
 use crate::words::{ToControl, ToMember};
 use crate::{Millis, Units};
-use std::collections::BTreeMap;
 
 /// How long to wait before the service is tried again, at most; each try in vain doubles the wait. A hundred
 /// hosts that lose it at one stroke do not come back at one stroke: each waits a part of it by chance.
@@ -22,17 +21,20 @@
     Lost(String),
 }
 
-/// What a host uses of a volume, counted by the host: units a second that clients ask for, served or not.
-pub type Wanted = BTreeMap<String, Units>;
+/// One of the host's own volumes, with its part of a limit where its plan has one.
+struct Volume {
+    name: String,
+    hosts: u32,
+    share: Option<Share>,
+}
 
 pub struct Member {
     host: String,
     trail: Trail,
     /// A newer state that the host has not said yes or no to.
     next: Option<Trail>,
-    /// The host's own volumes, with the number of hosts of each.
-    volumes: BTreeMap<String, u32>,
-    shares: BTreeMap<String, Share>,
+    /// In the host's own order, by which it names them here.
+    volumes: Vec<Volume>,
     /// Until then, what was lent before this start may still be used by others.
     unsure_until: Millis,
     tries: u32,
@@ -40,14 +42,13 @@
 }
 
 impl Member {
-    /// Starts with what was kept on disk, if anything.
-    pub fn new(host: &str, volumes: BTreeMap<String, u32>, kept: Option<Trail>, now: Millis) -> Member {
+    /// Starts with what was kept on disk, if anything. `volumes`: the host's own, with the number of hosts of each.
+    pub fn new(host: &str, volumes: Vec<(String, u32)>, kept: Option<Trail>, now: Millis) -> Member {
         let mut member = Member {
             host: host.to_owned(),
             trail: kept.unwrap_or_default(),
             next: None,
-            volumes,
-            shares: BTreeMap::new(),
+            volumes: volumes.into_iter().map(|(name, hosts)| Volume { name, hosts, share: None }).collect(),
             unsure_until: now + LOAN + MARGIN,
             tries: 0,
             connect_at: 0,
@@ -76,8 +77,9 @@
         ToControl::Hello { host: self.host.clone(), version, last }
     }
 
-    /// Takes a word. `wanted` is looked at for a question only.
-    pub fn heard(&mut self, word: ToMember, wanted: &Wanted, now: Millis) -> Heard {
+    /// Takes a word. `wanted`, looked at for a question only: units a second that clients ask of each of the
+    /// host's volumes, served or not, as the host has counted them.
+    pub fn heard(&mut self, word: ToMember, wanted: &[Units], now: Millis) -> Heard {
         self.tries = 0;
         match word {
             ToMember::Whole { state, last } => {
@@ -103,17 +105,19 @@
             }
             ToMember::Ask { asked } => {
                 let mut volumes = Vec::new();
-                for (name, share) in &mut self.shares {
-                    let wants = wanted.get(name).copied().unwrap_or(0);
+                for (at, v) in self.volumes.iter_mut().enumerate() {
+                    let Some(share) = &mut v.share else { continue };
+                    let wants = wanted.get(at).copied().unwrap_or(0);
                     let lent = share.lend(share.spare(wants), now);
-                    volumes.push((name.clone(), lent, wants.saturating_sub(share.even())));
+                    volumes.push((v.name.clone(), lent, wants.saturating_sub(share.even())));
                 }
                 let version = self.trail.state.version;
                 Heard::Say(ToControl::Report { asked, sent: now, version, volumes })
             }
             ToMember::Granted { sent, span, volumes } => {
                 for (name, amount) in volumes {
-                    if let Some(share) = self.shares.get_mut(&name) {
+                    let own = self.volumes.iter_mut().find(|v| v.name == name);
+                    if let Some(share) = own.and_then(|v| v.share.as_mut()) {
                         share.granted(amount, sent, span, now);
                     }
                 }
@@ -137,26 +141,25 @@
 
     fn share_out(&mut self, now: Millis) {
         let unsure = self.unsure_until;
-        for (name, hosts) in &self.volumes {
-            match self.trail.state.plan_of(name).filter(|p| p.limit > 0) {
-                Some(plan) => match self.shares.get_mut(name) {
-                    Some(share) => share.limit(plan.limit, *hosts),
-                    None => {
-                        let mut share = Share::new(plan.limit, *hosts);
-                        if now < unsure {
-                            share.started(unsure, now);
-                        }
-                        self.shares.insert(name.clone(), share);
+        for v in &mut self.volumes {
+            let plan = self.trail.state.plan_of(&v.name).filter(|p| p.limit > 0);
+            match (plan, &mut v.share) {
+                (Some(plan), Some(share)) => share.limit(plan.limit, v.hosts),
+                (Some(plan), none) => {
+                    let mut share = Share::new(plan.limit, v.hosts);
+                    if now < unsure {
+                        share.started(unsure, now);
                     }
-                },
-                None => drop(self.shares.remove(name)),
+                    *none = Some(share);
+                }
+                (None, share) => *share = None,
             }
         }
     }
 
-    /// The part of each limited volume's limit that this host may use now.
-    pub fn parts(&self, now: Millis) -> impl Iterator<Item = (&str, Units)> {
-        self.shares.iter().map(move |(name, share)| (name.as_str(), share.part(now)))
+    /// For each of the host's volumes the part of its limit that the host may use now; none: it has no limit.
+    pub fn parts(&self, now: Millis) -> impl Iterator<Item = Option<Units>> {
+        self.volumes.iter().map(move |v| v.share.as_ref().map(|share| share.part(now)))
     }
 
     /// Whether the service is to be tried now; `chance` between 0 and 1000 spreads hosts.
@@ -195,9 +198,9 @@
 
     fn member() -> (Trail, Member) {
         let trail = service();
-        let mut member = Member::new("h", [("water".to_owned(), 3)].into(), None, 0);
+        let mut member = Member::new("h", vec![("water".to_owned(), 3)], None, 0);
         let whole = ToMember::Whole { state: Box::new(trail.state.clone()), last: trail.last().to_owned() };
-        assert_eq!(member.heard(whole, &Wanted::new(), T), Heard::State);
+        assert_eq!(member.heard(whole, &[], T), Heard::State);
         assert_eq!(member.acts_on(T), Some(ToControl::ActsOn { version: 2 }));
         (trail, member)
     }
@@ -211,14 +214,14 @@
     }
 
     fn parts(member: &Member, now: Millis) -> Vec<Units> {
-        member.parts(now).map(|p| p.1).collect()
+        member.parts(now).flatten().collect()
     }
 
     #[test]
     fn a_version_counts_once_the_host_has_taken_it_up() {
         let (mut trail, mut member) = member();
         assert_eq!(parts(&member, T), [300]);
-        assert_eq!(member.heard(lower(&mut trail, 600), &Wanted::new(), T), Heard::State);
+        assert_eq!(member.heard(lower(&mut trail, 600), &[], T), Heard::State);
         assert_eq!(parts(&member, T), [300]);
         member.acts_on(T);
         assert_eq!((parts(&member, T), member.state()), (vec![200], &trail.state));
@@ -227,10 +230,10 @@
     #[test]
     fn a_version_that_is_turned_down_is_mended_by_a_later_one() {
         let (mut trail, mut member) = member();
-        member.heard(lower(&mut trail, 600), &Wanted::new(), T);
+        member.heard(lower(&mut trail, 600), &[], T);
         assert_eq!(member.against("no".into()), Some(ToControl::Against { version: 3, why: "no".into() }));
         assert_eq!(parts(&member, T), [300]);
-        member.heard(lower(&mut trail, 750), &Wanted::new(), T);
+        member.heard(lower(&mut trail, 750), &[], T);
         assert_eq!(member.acts_on(T), Some(ToControl::ActsOn { version: 4 }));
         assert_eq!(parts(&member, T), [250]);
     }
@@ -240,7 +243,7 @@
         let (mut trail, mut member) = member();
         lower(&mut trail, 600);
         let skipped = lower(&mut trail, 500);
-        assert!(matches!(member.heard(skipped, &Wanted::new(), T), Heard::Lost(_)));
+        assert!(matches!(member.heard(skipped, &[], T), Heard::Lost(_)));
         assert_eq!(parts(&member, T), [300]);
         let ToControl::Hello { last, .. } = member.hello() else { panic!("it opens with hello") };
         assert!(last.is_empty());
@@ -250,13 +253,13 @@
     fn what_is_lent_is_not_used_from_before_the_answer_is_sent() {
         let (_, mut member) = member();
         let Heard::Say(ToControl::Report { volumes, .. }) =
-            member.heard(ToMember::Ask { asked: 7 }, &Wanted::new(), T + 100)
+            member.heard(ToMember::Ask { asked: 7 }, &[], T + 100)
         else {
             panic!("it answers")
         };
         assert_eq!(volumes, [("water".to_owned(), 225, 0)]);
         assert_eq!(parts(&member, T + 100), [75]);
-        let wanted = [("water".to_owned(), 800)].into();
+        let wanted = [800];
         let Heard::Say(ToControl::Report { volumes, .. }) =
             member.heard(ToMember::Ask { asked: 9 }, &wanted, T + 200)
         else {
@@ -270,10 +273,10 @@
 
     #[test]
     fn a_service_that_is_away_is_tried_ever_later_and_not_by_all_at_once() {
-        let mut member = Member::new("h", BTreeMap::new(), None, 0);
+        let mut member = Member::new("h", Vec::new(), None, 0);
         let tries: Vec<Millis> = (0..30_000).filter(|now| member.connects(*now, 0)).collect();
         assert!((10..30).contains(&tries.len()), "{tries:?}");
-        let mut other = Member::new("i", BTreeMap::new(), None, 0);
+        let mut other = Member::new("i", Vec::new(), None, 0);
         let others: Vec<Millis> = (0..30_000).filter(|now| other.connects(*now, 1_000)).collect();
         assert_ne!(tries.last(), others.last());
     }
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -74,25 +74,26 @@
             start.open_table(MEMBERS).map_err(store)?;
         }
         start.commit().map_err(store)?;
-        let trail = Store::newest(&db)?;
+        let trail = Store::up_to(&db, u64::MAX)?;
         Ok(Store { db, trail, unsure: false })
     }
 
-    /// The last whole state, and the lines behind it.
-    fn newest(db: &Database) -> Result<Trail, Fault> {
+    /// The last whole state up to a version, and the lines behind it.
+    fn up_to(db: &Database, version: u64) -> Result<Trail, Fault> {
         let read = db.begin_read().map_err(store)?;
         let states = read.open_table(STATES).map_err(store)?;
         let mut trail = Trail::default();
-        if let Some((version, row)) = states.last().map_err(store)? {
+        if let Some(row) = states.range(..=version).map_err(store)?.next_back() {
+            let (of, row) = row.map_err(store)?;
             let (text, last) = row.value();
             let state: State = serde_json::from_str(text).map_err(damaged)?;
-            if state.version != version.value() {
-                return Err(damaged(format!("state {} under {}", state.version, version.value())));
+            if state.version != of.value() {
+                return Err(damaged(format!("state {} under {}", state.version, of.value())));
             }
             trail = Trail::from_base(state, last.to_owned());
         }
         let lines = read.open_table(LINES).map_err(store)?;
-        for row in lines.range(trail.state.version + 1..).map_err(store)? {
+        for row in lines.range(trail.state.version + 1..=version).map_err(store)? {
             trail.follow(row.map_err(store)?.1.value()).map_err(damaged)?;
         }
         Ok(trail)
@@ -161,19 +162,7 @@
         if version > self.trail.state.version {
             return Ok(None);
         }
-        let read = self.db.begin_read().map_err(store)?;
-        let states = read.open_table(STATES).map_err(store)?;
-        let mut trail = Trail::default();
-        if let Some(row) = states.range(..=version).map_err(store)?.next_back() {
-            let row = row.map_err(store)?.1;
-            let state = serde_json::from_str(row.value().0).map_err(damaged)?;
-            trail = Trail::from_base(state, row.value().1.to_owned());
-        }
-        let lines = read.open_table(LINES).map_err(store)?;
-        for row in lines.range(trail.state.version + 1..=version).map_err(store)? {
-            trail.follow(row.map_err(store)?.1.value()).map_err(damaged)?;
-        }
-        Ok(Some(trail))
+        Store::up_to(&self.db, version).map(Some)
     }
 
     /// Replays all lines from nothing and holds every whole state against them. How many lines there are.
