One walk over losses, one way to a control socket, one reading of plans' figures

value::losses serves fits and excess, value::placed the list, cli::control_path and ask the commands, to_figures and two small functions the rehearsals. reload and demand now say as the others do in which section a control socket lacks.

--- a/crates/cow/src/cache.rs
+++ b/crates/cow/src/cache.rs
@@ -172,12 +172,11 @@
 
     /// Where an extent of a branch, or of a snapshot, is read or written.
     pub fn look(&mut self, name: &str, extent: u32, write: bool, now: Millis) -> Look {
-        let Some(tree) = self.tree.as_ref().filter(|_| now < self.until) else { return Look::Unsure };
-        let Some(head) = layer_of(tree, name) else { return Look::NoSuchBranch };
         if self.remembered >= FOUND_MOST {
-            self.found.clear();
-            self.remembered = 0;
+            self.forget();
         }
+        let Some(tree) = self.tree.as_ref().filter(|_| now < self.until) else { return Look::Unsure };
+        let Some(head) = layer_of(tree, name) else { return Look::NoSuchBranch };
         let shown = self.found.entry(head).or_default();
         let found = *shown.entry(extent).or_insert_with(|| {
             self.remembered += 1;
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -364,31 +364,21 @@
                     .map(|text| println!("{text}")),
                 );
             };
-            load(file).and_then(|site| {
-                let control = site.catalog.and_then(|c| c.control);
-                let path = control.ok_or_else(|| {
-                    (BAD_FILE, format!("{}: no `control` in section catalog", file.display()))
-                })?;
-                control::ask(&path, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
-            })
+            ask(file, "catalog", |site| site.catalog?.control, &line).map(|text| println!("{text}"))
         }
         What::Demand { files, every, count } => {
-            let control = |file: &PathBuf| {
-                let control = load(file)?.host.control;
-                control.ok_or_else(|| (BAD_FILE, format!("{}: no `control`", file.display())))
-            };
+            let control = |file: &PathBuf| control_path(file, "host", |site| site.host.control);
             files.iter().map(control).collect::<Result<Vec<_>, _>>().map(|controls| {
                 let every = std::time::Duration::from_secs(every.max(1));
                 crate::demand::record(&controls, every, count, &mut |line| println!("{line}"));
             })
         }
-        What::Reload { file } => load(&file).and_then(|site| {
-            let control =
-                site.host.control.ok_or_else(|| (BAD_FILE, format!("{}: no `control`", file.display())))?;
-            let whole = std::path::absolute(&file).map_err(|e| (FAILED, e.to_string()))?;
-            let line = format!("plans {}", whole.display());
-            control::ask(&control, &line).map_err(|e| (FAILED, e.to_string())).map(|text| println!("{text}"))
-        }),
+        What::Reload { file } => {
+            std::path::absolute(&file).map_err(|e| (FAILED, e.to_string())).and_then(|whole| {
+                let line = format!("plans {}", whole.display());
+                ask(&file, "host", |site| site.host.control, &line).map(|text| println!("{text}"))
+            })
+        }
         What::Check { file } => load(&file).map(|site| {
             println!(
                 "{}: sound; host {}, {} volumes on {} nodes, {} plans, {} groups",
@@ -405,8 +395,7 @@
                 println!("{text}");
                 return Ok(());
             }
-            let status: Status =
-                serde_json::from_str(&text).map_err(|e| (FAILED, format!("the host's answer: {e}")))?;
+            let status = Status::read(&text).map_err(|e| (FAILED, format!("the host's answer: {e}")))?;
             print!("{status}");
             Ok(())
         }),
@@ -433,13 +422,31 @@
     mallowseam_settings::read(&name, &text).map_err(|problems| (BAD_FILE, problems.to_string()))
 }
 
+/// The control socket that a section of a configuration names.
+fn control_path(
+    file: &Path,
+    section: &str,
+    of: impl FnOnce(Site) -> Option<PathBuf>,
+) -> Result<PathBuf, (u8, String)> {
+    let path = of(load(file)?);
+    path.ok_or_else(|| (BAD_FILE, format!("{}: no `control` in section {section}", file.display())))
+}
+
+/// Asks the process behind it.
+pub(crate) fn ask(
+    file: &Path,
+    section: &str,
+    of: impl FnOnce(Site) -> Option<PathBuf>,
+    line: &str,
+) -> Result<String, (u8, String)> {
+    let path = control_path(file, section, of)?;
+    control::ask(&path, line).map_err(|e| (FAILED, e.to_string()))
+}
+
 fn tell(at: &At, what: &str) -> Result<String, (u8, String)> {
     let path = match (&at.control, &at.file) {
         (Some(path), _) => path.clone(),
-        (None, Some(file)) => load(file)?
-            .host
-            .control
-            .ok_or_else(|| (BAD_FILE, format!("{}: no `control` in section host", file.display())))?,
+        (None, Some(file)) => control_path(file, "host", |site| site.host.control)?,
         (None, None) => unreachable!("clap asks for one of them"),
     };
     control::ask(&path, what).map_err(|e| (FAILED, format!("{}: {e}", path.display())))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,3 +27,4 @@
 pub use control::{Status, ask};
 pub use run::{Failure, run};
 pub use tariffs::Asked;
+pub use terms::to_figures;
--- a/crates/gateway/src/plan_cli.rs
+++ b/crates/gateway/src/plan_cli.rs
@@ -1,6 +1,5 @@
 //! `mallowseam plan`: what an operator asks of the control service.
-use crate::cli::{BAD_FILE, By, FAILED, PlanWhat, load};
-use crate::control;
+use crate::cli::{self, BAD_FILE, By, FAILED, PlanWhat};
 use crate::tariffs::Asked;
 use mallowseam_plans::state::{Change, Plan, State};
 use std::path::Path;
@@ -51,11 +50,8 @@
 }
 
 fn ask(file: &Path, asked: &Asked) -> Result<String, (u8, String)> {
-    let path = load(file)?.tariffs.and_then(|t| t.control);
-    let path =
-        path.ok_or_else(|| (BAD_FILE, format!("{}: no `control` in section tariffs", file.display())))?;
     let line = serde_json::to_string(asked).expect("plain");
-    control::ask(&path, &line).map_err(|e| (FAILED, e.to_string()))
+    cli::ask(file, "tariffs", |site| site.tariffs?.control, &line)
 }
 
 /// Puts `NAME=NUMBER` into a plan. Error: what was expected.
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -11,7 +11,7 @@
 use mallowseam_shares::model::{Host, MOST, Node, Problem, SCALE, Volume};
 use mallowseam_shares::moves;
 use mallowseam_shares::search::{Answer, solve};
-use mallowseam_shares::value::{Placement, Worth, fits, gain_of, worth};
+use mallowseam_shares::value::{Placement, Worth, fits, gain_of, placed, worth};
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
@@ -375,7 +375,6 @@
         for file in [one, other] {
             let at = placement(&p, file)?;
             let w = worth(&p, &at);
-            let placed: Vec<(usize, &[usize])> = at.iter().map(Vec::as_slice).enumerate().collect();
             write!(
                 out,
                 "\n{:<24}{:>16.3}{:>10}{:>14.1}{:>8}",
@@ -383,7 +382,7 @@
                 w.gain as f64 / GAIN,
                 w.cost.0,
                 w.moved.0 as f64 / SCALE as f64,
-                if fits(&p, &placed, &|_| true, 1000) { "yes" } else { "no" }
+                if fits(&p, &placed(&at), &|_| true, 1000) { "yes" } else { "no" }
             )
             .expect("memory");
             sets.push(at);
@@ -403,10 +402,10 @@
 }
 
 /// How full each node is with a placement, now and in the worst loss.
-pub fn explain(file: &Path, placed: &Path) -> Ended {
+pub fn explain(file: &Path, answered: &Path) -> Ended {
     let told = || -> Result<String, String> {
         let p = read(file)?;
-        let at = placement(&p, placed)?;
+        let at = placement(&p, answered)?;
         let mut out = format!("{:<16}{:>12}{:>12}{:>8}  volumes", "node", "capacity", "reserved", "part");
         for (n, node) in p.nodes.iter().enumerate() {
             let here: Vec<usize> = (0..at.len()).filter(|v| at[*v].contains(&n)).collect();
@@ -423,9 +422,8 @@
             )
             .expect("memory");
         }
-        let placed: Vec<(usize, &[usize])> = at.iter().map(Vec::as_slice).enumerate().collect();
         let verdict =
-            if fits(&p, &placed, &|_| true, 1000) { "all reserves fit" } else { "reserves do not fit" };
+            if fits(&p, &placed(&at), &|_| true, 1000) { "all reserves fit" } else { "reserves do not fit" };
         write!(out, "\n{verdict}").expect("memory");
         Ok(out)
     };
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -71,16 +71,9 @@
 }
 
 /// Figures of a plan with its limit and burst times so many.
-fn figures(plan: &mallowseam_settings::site::Plan, times: f64) -> Plan {
-    let thousandths = |n: f64| (n * 1000.0).round() as u64;
-    Plan {
-        usual: thousandths(plan.usual),
-        reserve: thousandths(plan.reserve),
-        limit: thousandths((plan.limit * times).max(plan.reserve)),
-        burst: thousandths(plan.limit_burst * times),
-        weight: thousandths(plan.weight),
-        price: thousandths(plan.price),
-    }
+fn figures(plan: mallowseam_settings::site::Plan, times: f64) -> Plan {
+    let (limit, limit_burst) = ((plan.limit * times).max(plan.reserve), plan.limit_burst * times);
+    mallowseam_gateway::to_figures(&mallowseam_settings::site::Plan { limit, limit_burst, ..plan })
 }
 
 /// Changes of limits over a day, as the seed draws them.
@@ -364,8 +357,7 @@
         let plan = self.site.plans[plan].clone();
         let number = self.askers.len();
         self.askers.push(std::thread::spawn(move || {
-            let figures = figures(&plan, times);
-            let change = Change::Plan { name: plan.name, figures };
+            let change = Change::Plan { name: plan.name.clone(), figures: figures(plan, times) };
             let (author, reason) = ("rehearsal".into(), format!("change {number}"));
             let asked =
                 Ask::Set { change, expected: None, author, reason: reason.clone(), dry: false, wait: true };
@@ -475,9 +467,7 @@
     }
 
     fn kill_host(&mut self, n: u32) {
-        if let Some(mut child) = self.hosts[n as usize].child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if kill_now(&mut self.hosts[n as usize].child) {
             self.trace.note(What::HostDown { host: n });
         }
     }
@@ -587,17 +577,11 @@
             Trouble::Snapshot(volume, name) => self.ask_catalog(Kind::Snapshot(volume.clone(), name.clone())),
             Trouble::Clone(snapshot, name) => self.ask_catalog(Kind::Clone(snapshot.clone(), name.clone())),
             Trouble::CatalogKill => {
-                if let Some(mut child) = self.catalog.take() {
-                    let _ = child.kill();
-                    let _ = child.wait();
-                }
+                kill_now(&mut self.catalog);
             }
             Trouble::Tariff(plan, times) => self.change_plan(*plan, *times),
             Trouble::ControlKill => {
-                if let Some(mut child) = self.control.take() {
-                    let _ = child.kill();
-                    let _ = child.wait();
-                }
+                kill_now(&mut self.control);
             }
             Trouble::ControlStart => {
                 if let Err(e) = self.start_control() {
@@ -758,11 +742,8 @@
         let (mut places, clones) =
             if self.scene.catalog.is_some() { self.read_back() } else { Default::default() };
         let trail = self.scene.tariffs.map(|_| self.read_trail(&mut places));
-        if let Some(mut child) = self.control.take() {
-            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
-            if !child.wait().is_ok_and(|s| s.success()) {
-                self.unclean.push("the control service did not end well".into());
-            }
+        if !ends_well(&mut self.control) {
+            self.unclean.push("the control service did not end well".into());
         }
         for n in 0..self.scene.hosts {
             self.signal(n, Signal::SIGTERM);
@@ -770,11 +751,8 @@
         for n in 0..self.scene.hosts {
             self.await_end(n);
         }
-        if let Some(mut child) = self.catalog.take() {
-            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
-            if !child.wait().is_ok_and(|s| s.success()) {
-                self.unclean.push("the catalog did not end well".into());
-            }
+        if !ends_well(&mut self.catalog) {
+            self.unclean.push("the catalog did not end well".into());
         }
         let mut clones = clones;
         if self.scene.catalog.is_some() {
@@ -797,6 +775,21 @@
     }
 }
 
+/// Kills a process, if it runs; whether it did.
+fn kill_now(child: &mut Option<Child>) -> bool {
+    let Some(mut child) = child.take() else { return false };
+    let _ = child.kill();
+    let _ = child.wait();
+    true
+}
+
+/// Tells a process to end and waits for it. True where none runs.
+fn ends_well(child: &mut Option<Child>) -> bool {
+    let Some(mut child) = child.take() else { return true };
+    let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
+    child.wait().is_ok_and(|s| s.success())
+}
+
 /// Ids of what is written to clones, which no client uses.
 const CLONE_IDS: u64 = 1 << 48;
 
--- a/crates/shares/src/choose.rs
+++ b/crates/shares/src/choose.rs
@@ -1,7 +1,7 @@
 //! Weights, reserves and limits' parts that a problem leaves open, for a placement that is settled. Each choice
 //! is kept only if it gains: the figures given stand where nothing better is found.
 use crate::model::{Problem, SCALE, Wish};
-use crate::value::{Placement, SHARE_OF, SHARE_PART, fits, gain};
+use crate::value::{Placement, SHARE_OF, SHARE_PART, fits, gain, placed};
 
 /// Weights that are chosen lie between 1 and this: fine enough for parts of a thousandth.
 pub const WEIGHT_MOST: u64 = 1_000;
@@ -40,7 +40,7 @@
 /// Raises reserves, the dearest first, each by as much as fits now and in every loss that is survived.
 fn reserves(p: &Problem, placement: &Placement) -> Vec<u64> {
     let mut q = p.clone();
-    let placed: Vec<(usize, &[usize])> = placement.iter().map(Vec::as_slice).enumerate().collect();
+    let placed = placed(placement);
     let mut order: Vec<usize> = (0..p.volumes.len()).collect();
     order.sort_by_key(|v| (std::cmp::Reverse(p.volumes[*v].price), *v));
     for v in order {
--- a/crates/shares/src/improve.rs
+++ b/crates/shares/src/improve.rs
@@ -1,7 +1,7 @@
 //! Placements of large problems: one that fits early, then better ones as long as steps last. With the bound of
 //! `bound` the gap is proven at any moment. The same seed and steps give the same answer.
 use crate::model::{Problem, SCALE, Wish};
-use crate::value::{Placement, Worth, moved, part_gain, worth};
+use crate::value::{Placement, Worth, fits, moved, part_gain, placed, worth};
 use std::collections::BTreeMap;
 
 /// Sets that are looked at for one volume in the first pass: the least loaded ones of a zone mix.
@@ -315,7 +315,6 @@
 
     /// Whether what stands fits, by the plain count and not by the running one.
     pub fn sound(&self) -> bool {
-        let placed: Vec<(usize, &[usize])> = self.at.iter().map(Vec::as_slice).enumerate().collect();
-        crate::value::fits(self.p, &placed, &|_: Wish| true, 1000)
+        fits(self.p, &placed(&self.at), &|_: Wish| true, 1000)
     }
 }
--- a/crates/shares/src/moves.rs
+++ b/crates/shares/src/moves.rs
@@ -1,8 +1,8 @@
 //! From the placement of today to another one, a part of a volume at a time, so that no step on the way breaks a
 //! reserve, a loss that a volume survives, or a zone wish. What is broken today may stay broken until its step
 //! comes, and gets no worse. The steps are data for whatever moves extents.
-use crate::model::{Problem, SCALE, Wish};
-use crate::value::{Placement, excess, part_gain};
+use crate::model::{Problem, SCALE};
+use crate::value::{Placement, excess, part_gain, placed};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
@@ -128,8 +128,9 @@
     let counts = |a: &(usize, &[usize])| {
         !a.1.is_empty() && (!p.volumes[a.0].today.is_empty() || a.1.len() == p.volumes[a.0].spread)
     };
-    let placed: Vec<(usize, &[usize])> = at.iter().map(Vec::as_slice).enumerate().filter(counts).collect();
-    excess(p, &placed, &|_: Wish| true)
+    let mut placed = placed(at);
+    placed.retain(counts);
+    excess(p, &placed)
 }
 
 struct Way<'a> {
--- a/crates/shares/src/value.rs
+++ b/crates/shares/src/value.rs
@@ -1,6 +1,7 @@
 //! Whether a placement fits, and what it is worth.
 use crate::model::{Problem, SCALE, Wish};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 /// Units inside a volume's share of nine tenths of the spare earn 35 in 100, by the users' own counting; what
 /// lies inside the reserve earns all, the rest 10.
@@ -62,63 +63,61 @@
                 || *load * 1000 <= i128::from(p.nodes[n].capacity) * SCALE * i128::from(stretch)
         })
     };
+    losses(p, placed, wishes, &mut |away, survives| {
+        loads(p, placed, wishes, away, survives).is_some_and(|loads| within(&loads))
+    })
+}
+
+type Of<'a> = &'a dyn Fn(usize) -> bool;
+
+/// Looks at nothing lost, then at the loss of each node and of each zone that some volume survives: which nodes
+/// are away, and which volumes survive that. Stops, and is false, at the first look that is.
+fn losses(
+    p: &Problem,
+    placed: &[(usize, &[usize])],
+    wishes: &dyn Fn(Wish) -> bool,
+    look: &mut dyn FnMut(Of, Of) -> bool,
+) -> bool {
     let never = |_: usize| false;
-    let Some(now) = loads(p, placed, wishes, &never, &never) else { return false };
-    if !within(&now) {
+    if !look(&never, &never) {
         return false;
     }
     let node = |v: usize| p.volumes[v].survives_node && wishes(Wish::SurvivesNode(v));
-    if placed.iter().any(|(v, _)| node(*v)) {
-        for gone in 0..p.nodes.len() {
-            match loads(p, placed, wishes, &|n| n == gone, &node) {
-                Some(loads) if within(&loads) => {}
-                _ => return false,
-            }
-        }
+    if placed.iter().any(|(v, _)| node(*v)) && !(0..p.nodes.len()).all(|gone| look(&|n| n == gone, &node)) {
+        return false;
     }
     let zone = |v: usize| p.volumes[v].survives_zone && wishes(Wish::SurvivesZone(v));
-    if placed.iter().any(|(v, _)| zone(*v)) {
-        let mut zones: Vec<&str> = p.nodes.iter().map(|n| n.zone.as_str()).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        for gone in zones {
-            match loads(p, placed, wishes, &|n| p.nodes[n].zone == gone, &zone) {
-                Some(loads) if within(&loads) => {}
-                _ => return false,
-            }
-        }
+    if !placed.iter().any(|(v, _)| zone(*v)) {
+        return true;
     }
-    true
+    let zones: BTreeSet<&str> = p.nodes.iter().map(|n| n.zone.as_str()).collect();
+    zones.into_iter().all(|gone| look(&|n| p.nodes[n].zone == gone, &zone))
 }
 
 /// How far reserves are from fitting: what they ask beyond each node's capacity, now and with any one node or
 /// zone away, all added up; 0 where they fit. A volume with no node left in a loss that it survives lacks its
 /// whole reserve.
-pub fn excess(p: &Problem, placed: &[(usize, &[usize])], wishes: &dyn Fn(Wish) -> bool) -> i128 {
-    let over = |away: &dyn Fn(usize) -> bool, survives: &dyn Fn(usize) -> bool| -> i128 {
-        let gone = |set: &[usize]| set.iter().all(|n| away(*n));
-        let whole = |v: usize| i128::from(p.volumes[v].reserve) * SCALE;
-        let lacking = placed.iter().filter(|(v, set)| survives(*v) && gone(set)).map(|(v, _)| whole(*v));
-        let lacking: i128 = lacking.sum();
-        let left: Vec<(usize, &[usize])> = placed.iter().copied().filter(|(_, set)| !gone(set)).collect();
-        let loads = loads(p, &left, wishes, away, survives).expect("each has a node left");
+pub fn excess(p: &Problem, placed: &[(usize, &[usize])]) -> i128 {
+    let every = |_: Wish| true;
+    let mut all = 0;
+    losses(p, placed, &every, &mut |away, survives| {
+        let (gone, left): (Vec<(usize, &[usize])>, Vec<_>) =
+            placed.iter().partition(|(_, set)| set.iter().all(|n| away(*n)));
+        let lost = gone.iter().filter(|(v, _)| survives(*v));
+        all += lost.map(|(v, _)| i128::from(p.volumes[*v].reserve) * SCALE).sum::<i128>();
+        let loads = loads(p, &left, &every, away, survives).expect("each has a node left");
         let room = |n: usize| i128::from(p.nodes[n].capacity) * SCALE;
-        lacking + loads.iter().enumerate().map(|(n, load)| (load - room(n)).max(0)).sum::<i128>()
-    };
-    let never = |_: usize| false;
-    let mut all = over(&never, &never);
-    let node = |v: usize| p.volumes[v].survives_node;
-    if placed.iter().any(|(v, _)| node(*v)) {
-        all += (0..p.nodes.len()).map(|gone| over(&|n| n == gone, &node)).sum::<i128>();
-    }
-    let zone = |v: usize| p.volumes[v].survives_zone;
-    if placed.iter().any(|(v, _)| zone(*v)) {
-        let zones: std::collections::BTreeSet<&str> = p.nodes.iter().map(|n| n.zone.as_str()).collect();
-        all += zones.into_iter().map(|z| over(&|n| p.nodes[n].zone == z, &zone)).sum::<i128>();
-    }
+        all += loads.iter().enumerate().map(|(n, load)| (load - room(n)).max(0)).sum::<i128>();
+        true
+    });
     all
 }
 
+/// All volumes of a placement, each with its nodes.
+pub fn placed(placement: &Placement) -> Vec<(usize, &[usize])> {
+    placement.iter().map(Vec::as_slice).enumerate().collect()
+}
+
 /// Gain a second when every volume surges at once, scaled: at each node the reserve in full, then by weight
 /// of nine tenths of what the reserves leave, then what is still free in order of price.
 pub fn gain(p: &Problem, placement: &Placement) -> i128 {
--- a/crates/shares/tests/moving.rs
+++ b/crates/shares/tests/moving.rs
@@ -29,7 +29,7 @@
     let over = |at: &Placement| {
         let placed: Vec<(usize, &[usize])> =
             at.iter().map(Vec::as_slice).enumerate().filter(|a| !a.1.is_empty()).collect();
-        excess(p, &placed, &|_| true)
+        excess(p, &placed)
     };
     let unmet = |v: usize, set: &[usize]| {
         let zones: std::collections::BTreeSet<&str> = set.iter().map(|n| p.nodes[*n].zone.as_str()).collect();
