--- /dev/null
+++ b/crates/conduct/src/parting.rs
@@ -0,0 +1,67 @@
+//! How a host's descriptors and memory are parted, and which connections to nodes are kept and used again.
+use crate::Millis;
+
+/// Descriptors that are neither clients' nor nodes': standard streams, poll, listener, signals, two calls to
+/// the list service, the configuration's file, and as many again for what the system's libraries open.
+const RESERVE: u64 = 24;
+/// Of the rest, clients' part in tenths. Half of theirs may be idle or silent, while each request in hand has at
+/// most one submit out.
+const CLIENTS: u64 = 6;
+/// Parts of the memory that answers and clients' bytes may take, each one in so many.
+const ANSWERS_PART: u64 = 4;
+const CLIENTS_PART: u64 = 4;
+const MIB: u64 = 1 << 20;
+/// A connection that has just been used rests for this: bytes that do not belong to its last answer show
+/// themselves within a turn of the node's loop.
+const RESTS: Millis = 2;
+/// Part of a node's own idle time after which a connection is given up: well before the node does, so that no
+/// submit rides on a dying one.
+const IDLE_PART: u64 = 2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Parting {
+    /// Connections of clients, and to nodes, at most.
+    pub clients: usize,
+    pub nodes: usize,
+    /// Bytes of requests and answers that wait for clients, all together.
+    pub client_bytes: usize,
+}
+
+/// Parts what the configuration gives; `answer`: the most bytes that one answer may hold.
+pub fn part(sockets: u64, memory_mb: u64, answer: usize) -> Parting {
+    let free = sockets.saturating_sub(RESERVE).max(2);
+    let answers = memory_mb * MIB / ANSWERS_PART / answer.max(1) as u64;
+    Parting {
+        clients: (free * CLIENTS / 10) as usize,
+        nodes: (free - free * CLIENTS / 10).min(answers).max(1) as usize,
+        client_bytes: (memory_mb * MIB / CLIENTS_PART) as usize,
+    }
+}
+
+/// Whether an idle connection may carry the next submit; `idle_close`: when its node closes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fit {
+    Use,
+    /// It has only just been used.
+    NotYet,
+    TooOld,
+}
+
+pub fn fit(idle: Millis, idle_close: Millis) -> Fit {
+    if idle_close > 0 && idle >= idle_close / IDLE_PART {
+        Fit::TooOld
+    } else if idle < RESTS {
+        Fit::NotYet
+    } else {
+        Fit::Use
+    }
+}
+
+/// Of a node's idle connections, the one that serves a submit: the latest used that has rested, so that those
+/// not needed grow old. `idle` tells for how long each has stood, the latest used last.
+pub fn choose(
+    idle: impl DoubleEndedIterator<Item = Millis> + ExactSizeIterator,
+    idle_close: Millis,
+) -> Option<usize> {
+    idle.enumerate().rev().find(|(_, idle)| fit(*idle, idle_close) == Fit::Use).map(|(at, _)| at)
+}
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -32,6 +32,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run a real host of the users' platform in the foreground, by the configuration that GW_CONFIG names;
+    /// SIGHUP reads it anew, SIGTERM ends it once all it took is answered
+    Host {
+        /// Log lines as JSON objects
+        #[arg(long)]
+        json: bool,
+    },
     /// Run the catalog of snapshots and clones in the foreground until SIGTERM or SIGINT
     Catalog {
         /// The configuration file
@@ -301,6 +308,12 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::run(site).map_err(|e| (FAILED, e.to_string())))
         }
+        What::Host { json } => {
+            start_log(Level::Info, json);
+            let path = std::env::var_os("GW_CONFIG").map(PathBuf::from);
+            let path = path.ok_or_else(|| (BAD_FILE, "GW_CONFIG: names no configuration".to_owned()));
+            path.and_then(|p| mallowseam_platform_host::run(&p).map_err(|e| (FAILED, e.to_string())))
+        }
         What::Catalog { file, die_at, log, json } => {
             start_log(log, json);
             load(&file)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod cli;
 pub mod client;
 pub mod clients;
-pub mod clock;
 mod control;
 mod demand;
 mod desk;
@@ -18,12 +17,13 @@
 mod plan_cli;
 mod run;
 mod shares;
-pub mod slots;
 mod tariffs;
 mod terms;
 mod verify;
 pub mod wire;
 
+pub use mallowseam_sockets::{clock, slots};
+
 pub use control::{Status, ask};
 pub use run::{Failure, run};
 pub use tariffs::Asked;
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -1,57 +1,18 @@
-//! Bytes between a socket and what is to be written or read, without blocking.
+//! What waits for an iSCSI connection goes out as far as its socket takes it.
 use mallowseam_iscsi::frame::Outgoing;
-use std::io::{ErrorKind, Read, Write};
-
-/// What a try at a socket came to.
-pub enum Tried {
-    /// The socket takes or has no more for now.
-    Blocked,
-    /// So many bytes were read; there may be more.
-    Read(usize),
-    /// The other side closed, or the socket failed.
-    Over(String),
-}
-
-pub fn read(socket: &mut impl Read, into: &mut [u8]) -> Tried {
-    loop {
-        match socket.read(into) {
-            Ok(0) => return Tried::Over("closed by the other side".into()),
-            Ok(n) => return Tried::Read(n),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Tried::Blocked,
-            Err(e) => return Tried::Over(e.to_string()),
-        }
-    }
-}
-
-/// Writes bytes off the front of a buffer until it is empty or the socket takes no more. Error: the socket is over.
-pub fn push(socket: &mut impl Write, bytes: &mut Vec<u8>) -> Result<(), String> {
-    while !bytes.is_empty() {
-        match socket.write(bytes) {
-            Ok(0) => return Err("takes no bytes".into()),
-            Ok(n) => drop(bytes.drain(..n)),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            Err(e) => return Err(e.to_string()),
-        }
-    }
-    Ok(())
-}
+pub use mallowseam_sockets::wire::{Tried, push, read, send};
+use std::io::Write;
 
 /// Writes what waits; how many bytes went, or why the socket is over.
 pub fn write(socket: &mut impl Write, out: &mut Outgoing) -> Result<usize, String> {
     let mut all = 0;
     while !out.waiting().is_empty() {
-        match socket.write(out.waiting()) {
-            Ok(0) => return Err("takes no bytes".into()),
-            Ok(n) => {
-                out.wrote(n);
-                all += n;
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            Err(e) => return Err(e.to_string()),
+        let sent = send(socket, out.waiting()).map_err(|(_, why)| why)?;
+        if sent == 0 {
+            break;
         }
+        out.wrote(sent);
+        all += sent;
     }
     Ok(all)
 }
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,187 @@
+//! One head: the first line, the headers, and what they say of the body.
+use crate::{Bounds, Fault};
+use httparse::{EMPTY_HEADER, Header, Status};
+
+/// Headers in one head, at most: some ten are usual.
+const HEADERS: usize = 64;
+/// 1xx answers are skipped by the reader of messages; one that changes the protocol can't be.
+const SWITCHING: u16 = 101;
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    None,
+    Length(usize),
+    Chunked,
+}
+
+/// The headers of a head that was read.
+#[derive(Clone, Copy)]
+pub struct Headers<'b> {
+    all: [Header<'b>; HEADERS],
+    count: usize,
+}
+
+impl<'b> Headers<'b> {
+    fn new(all: &[Header<'b>]) -> Self {
+        let mut headers = Headers { all: [EMPTY_HEADER; HEADERS], count: all.len() };
+        headers.all[..all.len()].copy_from_slice(all);
+        headers
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&'b str, &'b [u8])> {
+        self.all[..self.count].iter().map(|h| (h.name, h.value))
+    }
+
+    fn values<'s>(&'s self, name: &'s str) -> impl Iterator<Item = &'b [u8]> + 's {
+        self.iter().filter(move |h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1)
+    }
+
+    /// The value of a header that must not stand twice. Error: it does, or is no visible text.
+    pub fn single(&self, name: &str) -> Result<Option<&'b str>, Fault> {
+        let mut values = self.values(name);
+        let Some(value) = values.next() else { return Ok(None) };
+        if values.next().is_some() || !value.iter().all(|b| (b' '..=b'~').contains(b)) {
+            return Err(Fault::Malformed);
+        }
+        std::str::from_utf8(value).map(|v| Some(v.trim())).map_err(|_| Fault::Malformed)
+    }
+
+    /// Whether one of the words of a comma-separated header is this one.
+    fn lists(&self, name: &str, word: &[u8]) -> bool {
+        let has =
+            |value: &[u8]| value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(word));
+        self.values(name).any(has)
+    }
+
+    /// RFC 9112, 6.3, in its strict reading: both framings at once, a repeated or signed length and any
+    /// coding but `chunked` alone are refused.
+    fn framing(&self, bounds: Bounds, http10: bool) -> Result<Option<Framing>, Fault> {
+        let length = match self.single("Content-Length") {
+            Ok(length) => length,
+            Err(_) => return Err(Fault::Framing),
+        };
+        let coding = match self.single("Transfer-Encoding") {
+            Ok(coding) => coding,
+            Err(_) => return Err(Fault::Framing),
+        };
+        match (length, coding) {
+            (Some(_), Some(_)) => Err(Fault::Framing),
+            (None, Some(_)) if http10 => Err(Fault::Framing),
+            (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => Ok(Some(Framing::Chunked)),
+            (None, Some(_)) => Err(Fault::Unsupported),
+            (Some(length), None) => {
+                if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) {
+                    return Err(Fault::Framing);
+                }
+                // Digits past any number are a huge length, and said to be one.
+                let length = length.parse::<u64>().unwrap_or(u64::MAX);
+                if length > bounds.body as u64 {
+                    return Err(Fault::BodyTooLarge);
+                }
+                Ok(Some(Framing::Length(length as usize)))
+            }
+            (None, None) => Ok(None),
+        }
+    }
+
+    fn closes(&self, http10: bool) -> bool {
+        self.lists("Connection", b"close") || http10 && !self.lists("Connection", b"keep-alive")
+    }
+}
+
+/// The head of a request.
+pub struct RequestHead<'b> {
+    pub method: &'b str,
+    pub target: &'b str,
+    pub headers: Headers<'b>,
+    /// The client wants the connection closed behind the answer.
+    pub close: bool,
+    /// It waits for a word before it sends its body.
+    pub expects: bool,
+    pub framing: Framing,
+    /// Bytes of the head.
+    pub len: usize,
+}
+
+impl<'b> RequestHead<'b> {
+    /// Reads one off the front; none: it is not whole yet.
+    pub fn read(bytes: &'b [u8], bounds: Bounds) -> Result<Option<Self>, Fault> {
+        let window = &bytes[..bytes.len().min(bounds.head)];
+        let mut room = [EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut room);
+        let len = match request.parse(window) {
+            Ok(Status::Complete(len)) => len,
+            Ok(Status::Partial) if bytes.len() >= bounds.head => return Err(Fault::HeadTooLarge),
+            Ok(Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
+            Err(httparse::Error::Version) => return Err(Fault::Unsupported),
+            Err(_) => return Err(Fault::Malformed),
+        };
+        let (Some(method), Some(target), Some(version)) = (request.method, request.path, request.version)
+        else {
+            return Err(Fault::Malformed);
+        };
+        let http10 = version == 0;
+        let headers = Headers::new(request.headers);
+        let framing = headers.framing(bounds, http10)?.unwrap_or(Framing::None);
+        // RFC 9112, 3.2: a request of HTTP/1.1 names its host, once.
+        if !matches!(headers.single("Host"), Ok(host) if host.is_some() || http10) {
+            return Err(Fault::Malformed);
+        }
+        let close = headers.closes(http10);
+        let expects = !http10 && headers.lists("Expect", b"100-continue");
+        Ok(Some(RequestHead { method, target, headers, close, expects, framing, len }))
+    }
+
+    /// Whether the request states its body's length, be it nothing.
+    pub fn states_length(&self) -> bool {
+        self.framing != Framing::None
+    }
+}
+
+/// The head of an answer.
+pub struct AnswerHead<'b> {
+    pub status: u16,
+    pub headers: Headers<'b>,
+    pub close: bool,
+    pub framing: Framing,
+    pub len: usize,
+}
+
+impl<'b> AnswerHead<'b> {
+    /// Reads one off the front; none: it is not whole yet. An answer that only the connection's end would
+    /// bound is refused: a break could not be told from its end.
+    pub fn read(bytes: &'b [u8], bounds: Bounds) -> Result<Option<Self>, Fault> {
+        let window = &bytes[..bytes.len().min(bounds.head)];
+        let mut room = [EMPTY_HEADER; HEADERS];
+        let mut answer = httparse::Response::new(&mut room);
+        let len = match answer.parse(window) {
+            Ok(Status::Complete(len)) => len,
+            Ok(Status::Partial) if bytes.len() >= bounds.head => return Err(Fault::HeadTooLarge),
+            Ok(Status::Partial) => return Ok(None),
+            Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
+            Err(httparse::Error::Version) => return Err(Fault::Unsupported),
+            Err(_) => return Err(Fault::Malformed),
+        };
+        let (Some(status), Some(version)) = (answer.code, answer.version) else {
+            return Err(Fault::Malformed);
+        };
+        if status == SWITCHING || !(100..600).contains(&status) {
+            return Err(Fault::Unsupported);
+        }
+        let headers = Headers::new(answer.headers);
+        let bare = status < 200 || status == 204 || status == 304;
+        let framing = match headers.framing(bounds, version == 0)? {
+            _ if bare => Framing::None,
+            Some(framing) => framing,
+            None => return Err(Fault::NoLength),
+        };
+        Ok(Some(AnswerHead { status, headers, close: headers.closes(version == 0), framing, len }))
+    }
+
+    /// 1xx: the answer proper is still to come.
+    pub fn ahead(&self) -> bool {
+        self.status < 200
+    }
+}
--- /dev/null
+++ b/crates/platform-host/src/clients.rs
@@ -0,0 +1,351 @@
+//! Connections of clients: requests are read off them one at a time, and answers written.
+use crate::{MESSAGE, take_front, tidy};
+use mallowseam_conduct::Millis;
+use mallowseam_conduct::front::{self, Care, Doing, Guest};
+use mallowseam_http1::{Fault, RequestHead, RequestReader, Whole};
+use mallowseam_platform::answer;
+use mallowseam_scheduler::host::BioId;
+use mallowseam_sockets::slots::Slots;
+use mallowseam_sockets::wire::{self, Tried};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::collections::VecDeque;
+use std::net::Shutdown;
+
+struct Client {
+    socket: TcpStream,
+    guest: Guest,
+    /// What has come and is not yet done with; a request in hand stands at its front.
+    buffer: Vec<u8>,
+    reader: RequestReader,
+    whole: Option<Whole>,
+    bio: Option<BioId>,
+    out: Vec<u8>,
+    /// The socket may have more to read; its client has ended its side; nothing follows the answer in `out`.
+    readable: bool,
+    left: bool,
+    last: bool,
+    queued: bool,
+}
+
+impl Client {
+    fn bytes(&self) -> usize {
+        self.buffer.capacity() + self.out.capacity()
+    }
+}
+
+/// What a look at a client's connection came to.
+pub enum Came {
+    Nothing,
+    /// A whole request, to be looked at with `request`.
+    Request,
+}
+
+pub struct Clients {
+    all: Slots<Client>,
+    registry: Registry,
+    token: fn(u32) -> Token,
+    most: usize,
+    /// Bytes held for all clients, and the most of it.
+    bytes: usize,
+    bytes_most: usize,
+    /// Answers are the last on their connections.
+    pub leaving: Option<Millis>,
+    /// Those with more to read or to look at.
+    pub turns: VecDeque<u32>,
+    pub counts: Counts,
+}
+
+/// What came of clients' connections, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub accepted: u64,
+    pub turned_off: u64,
+    pub unreadable: u64,
+    pub wrong: u64,
+}
+
+/// The status that tells of a message that can't be read.
+fn status(fault: Fault) -> u16 {
+    match fault {
+        Fault::Malformed | Fault::Framing => 400,
+        Fault::HeadTooLarge => 431,
+        Fault::BodyTooLarge => 413,
+        Fault::NoLength => 411,
+        Fault::Unsupported => 501,
+    }
+}
+
+impl Clients {
+    pub fn new(registry: Registry, token: fn(u32) -> Token, most: usize, bytes_most: usize) -> Self {
+        Clients {
+            all: Slots::default(),
+            registry,
+            token,
+            most,
+            bytes: 0,
+            bytes_most,
+            leaving: None,
+            turns: VecDeque::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// A connection was accepted: it has a place, another gives way, or it is closed.
+    pub fn enter(&mut self, mut socket: TcpStream, now: Millis) {
+        self.counts.accepted += 1;
+        if self.all.len() >= self.most {
+            let Some(at) = front::gives_way(self.all.iter().map(|(at, c)| (at, &c.guest)), now) else {
+                self.counts.turned_off += 1;
+                return;
+            };
+            self.close(at);
+        }
+        let _ = socket.set_nodelay(true);
+        let at = self.all.next();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        if self.registry.register(&mut socket, (self.token)(at), interest).is_err() {
+            return;
+        }
+        self.all.put(Client {
+            socket,
+            guest: Guest::new(now),
+            buffer: Vec::new(),
+            reader: RequestReader::default(),
+            whole: None,
+            bio: None,
+            out: Vec::new(),
+            readable: true,
+            left: false,
+            last: false,
+            queued: false,
+        });
+        self.queue(at);
+    }
+
+    fn close(&mut self, at: u32) {
+        if let Some(mut client) = self.all.take(at) {
+            self.bytes -= client.bytes();
+            let _ = self.registry.deregister(&mut client.socket);
+        }
+    }
+
+    fn queue(&mut self, at: u32) {
+        if let Some(client) = self.all.get_mut(at)
+            && !client.queued
+        {
+            client.queued = true;
+            self.turns.push_back(at);
+        }
+    }
+
+    /// The poll has something of a connection. Some: its client has left what is in hand.
+    pub fn ready(&mut self, at: u32, readable: bool, ended: bool, now: Millis) -> Option<BioId> {
+        let client = self.all.get_mut(at)?;
+        client.readable |= readable || ended;
+        client.left |= ended;
+        if !client.out.is_empty() {
+            self.flush(at, now);
+        }
+        let client = self.all.get_mut(at)?;
+        if client.left && client.bio.is_some() {
+            return client.bio;
+        }
+        self.queue(at);
+        None
+    }
+
+    /// A connection's turn: reads on until a request is whole or nothing more has come.
+    pub fn turn(&mut self, at: u32, scratch: &mut [u8], now: Millis) -> Came {
+        let Some(client) = self.all.get_mut(at) else { return Came::Nothing };
+        client.queued = false;
+        if client.guest.doing() == Doing::Lingers {
+            self.drop_rest(at, scratch);
+            return Came::Nothing;
+        }
+        // While it rests, or has something in hand, what it sends waits in the socket.
+        if !client.guest.reads(now) {
+            return Came::Nothing;
+        }
+        let before = client.bytes();
+        let read = Self::read(client, scratch, now);
+        self.bytes = self.bytes + client.bytes() - before;
+        let full = self.bytes > self.bytes_most;
+        match read {
+            Ok(true) => Came::Request,
+            Err(Some(fault)) => {
+                self.counts.unreadable += 1;
+                self.end(at, status(fault), fault.words(), now);
+                Came::Nothing
+            }
+            Err(None) => {
+                self.close(at);
+                Came::Nothing
+            }
+            // All clients' bytes together have their bound: who would pass it is asked to come back.
+            Ok(false) if full => {
+                self.end(at, answer::SHED, "no room", now);
+                Came::Nothing
+            }
+            Ok(false) => Came::Nothing,
+        }
+    }
+
+    /// Error: the message is at fault, or (none) the connection is over.
+    fn read(client: &mut Client, scratch: &mut [u8], now: Millis) -> Result<bool, Option<Fault>> {
+        loop {
+            if !client.buffer.is_empty() {
+                if client.guest.doing() != Doing::Midway {
+                    client.guest.turns(Doing::Midway, now);
+                }
+                client.whole = client.reader.advance(&mut client.buffer, MESSAGE).map_err(Some)?;
+                if client.whole.is_some() {
+                    return Ok(true);
+                }
+                if client.reader.expects() {
+                    client.out.extend_from_slice(answer::GO_ON);
+                    wire::push(&mut client.socket, &mut client.out).map_err(|_| None)?;
+                }
+            }
+            if !client.readable {
+                return Ok(false);
+            }
+            let room = (MESSAGE.buffer() - client.buffer.len()).min(scratch.len());
+            match wire::read(&mut client.socket, &mut scratch[..room]) {
+                Tried::Read(count) => client.buffer.extend_from_slice(&scratch[..count]),
+                Tried::Blocked => client.readable = false,
+                Tried::Over(_) => return Err(None),
+            }
+        }
+    }
+
+    /// What a client sends behind the end of its connection is read and dropped, within bounds.
+    fn drop_rest(&mut self, at: u32, scratch: &mut [u8]) {
+        let Some(client) = self.all.get_mut(at) else { return };
+        while client.readable {
+            match wire::read(&mut client.socket, scratch) {
+                Tried::Read(count) if client.guest.dropped(count) => return self.close(at),
+                Tried::Read(_) => {}
+                Tried::Blocked => client.readable = false,
+                Tried::Over(_) => return self.close(at),
+            }
+        }
+    }
+
+    /// The whole request of a connection: its head and its body. None: there is none.
+    pub fn request(&self, at: u32) -> Option<(RequestHead<'_>, &[u8])> {
+        let client = self.all.get(at)?;
+        let whole = client.whole?;
+        let head = RequestHead::read(&client.buffer, MESSAGE).ok().flatten()?;
+        Some((head, &client.buffer[whole.body..whole.end]))
+    }
+
+    /// Whether the client of a whole request is known to have gone.
+    pub fn left(&self, at: u32) -> bool {
+        self.all.get(at).is_none_or(|c| c.left)
+    }
+
+    /// The request of a connection is the scheduler's now.
+    pub fn taken(&mut self, at: u32, bio: BioId, now: Millis) {
+        if let Some(client) = self.all.get_mut(at) {
+            client.bio = Some(bio);
+            client.guest.right();
+            client.guest.turns(Doing::InHand, now);
+        }
+    }
+
+    /// A request that can't be taken; its connection goes on.
+    pub fn wrong(&mut self, at: u32, status: u16, words: &str, now: Millis) {
+        self.counts.wrong += 1;
+        if let Some(client) = self.all.get_mut(at) {
+            client.guest.wrong(now);
+        }
+        self.answer(at, status, words.as_bytes(), 0, now);
+    }
+
+    /// The answer to the whole request of a connection.
+    pub fn answer(&mut self, at: u32, status: u16, body: &[u8], come_back: u64, now: Millis) {
+        let Some(client) = self.all.get_mut(at) else { return };
+        let before = client.bytes();
+        let asked = client.whole.and_then(|_| RequestHead::read(&client.buffer, MESSAGE).ok().flatten());
+        client.last |= self.leaving.is_some() || client.left || asked.is_none_or(|head| head.close);
+        answer::write(&mut client.out, status, body, come_back, client.last);
+        if let Some(whole) = client.whole.take() {
+            take_front(&mut client.buffer, whole.end);
+        }
+        client.reader.next();
+        client.bio = None;
+        client.guest.turns(Doing::Answered, now);
+        self.bytes = self.bytes + client.bytes() - before;
+        self.flush(at, now);
+    }
+
+    /// An error on a connection that is of no further use.
+    fn end(&mut self, at: u32, status: u16, words: &str, now: Millis) {
+        if let Some(client) = self.all.get_mut(at) {
+            client.whole = None;
+            client.last = true;
+            self.bytes -= client.bytes();
+            tidy(&mut client.buffer);
+            self.bytes += client.bytes();
+        }
+        self.answer(at, status, words.as_bytes(), 0, now);
+    }
+
+    /// Writes what waits. All written, the connection is read on, or ends.
+    fn flush(&mut self, at: u32, now: Millis) {
+        let Some(client) = self.all.get_mut(at) else { return };
+        let before = client.bytes();
+        let pushed = wire::push(&mut client.socket, &mut client.out);
+        if client.out.is_empty() {
+            tidy(&mut client.out);
+        }
+        self.bytes = self.bytes + client.bytes() - before;
+        if pushed.is_err() {
+            return self.close(at);
+        }
+        if !client.out.is_empty() || client.guest.doing() != Doing::Answered {
+            return;
+        }
+        if client.last {
+            if client.socket.shutdown(Shutdown::Write).is_err() {
+                return self.close(at);
+            }
+            client.guest.turns(Doing::Lingers, now);
+        } else {
+            client.guest.turns(Doing::Idle, now);
+        }
+        self.queue(at);
+    }
+
+    /// Looks at how all connections stand.
+    pub fn look(&mut self, now: Millis) {
+        for at in 0..self.all.places() {
+            let Some(client) = self.all.get_mut(at) else { continue };
+            match client.guest.care(now, self.leaving) {
+                Care::Close if client.readable && client.guest.doing() == Doing::Idle => self.queue(at),
+                Care::Close => self.close(at),
+                Care::Late => self.end(at, 408, "the request is late", now),
+                Care::Nothing
+                    if client.guest.reads(now) && (client.readable || !client.buffer.is_empty()) =>
+                {
+                    self.queue(at);
+                }
+                Care::Nothing => {}
+            }
+        }
+    }
+
+    /// How many connections do what: for the log.
+    pub fn doing(&self, what: Doing) -> usize {
+        self.all.iter().filter(|(_, c)| c.guest.doing() == what).count()
+    }
+}
--- /dev/null
+++ b/crates/platform-host/src/desk.rs
@@ -0,0 +1,298 @@
+//! What is in hand: carries out what the scheduler asks, and tells it what came of it.
+use crate::clients::Clients;
+use crate::nodes::{Came, Good, Nodes, Ready};
+use mallowseam_conduct::Millis;
+use mallowseam_platform::answer;
+use mallowseam_platform::list::{Health, News};
+use mallowseam_platform::names::Names;
+use mallowseam_platform::request::{self, Asked, Id};
+use mallowseam_platform::settings::Named;
+use mallowseam_scheduler::host::*;
+use mallowseam_scheduler::scheduler::Scheduler;
+use mallowseam_sockets::clock::millis;
+use mallowseam_sockets::slots::Slots;
+use std::collections::VecDeque;
+
+/// A block I/O, from its client's whole request until the scheduler releases it.
+struct Held {
+    id: Id,
+    /// Its client's connection, until it has its final answer or has gone.
+    client: Option<u32>,
+    submits: u32,
+    /// The connection that carries its submit.
+    line: Option<u32>,
+    hard_limit: Tick,
+}
+
+/// What came of block I/Os, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub ended: u64,
+    pub shed: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub never_sent: u64,
+}
+
+pub struct Desk {
+    pub now: Tick,
+    pub named: Named,
+    pub clients: Clients,
+    pub nodes: Nodes,
+    pub names: Names,
+    pub counts: Counts,
+    held: Slots<Held>,
+    came: VecDeque<Came>,
+    pub wake_at: Option<Tick>,
+    /// What the scheduler wants of the list service.
+    pub wants_watch: bool,
+    pub wants_list: bool,
+    listed: Vec<Listed>,
+}
+
+impl Desk {
+    pub fn new(now: Tick, named: Named, clients: Clients, nodes: Nodes) -> Self {
+        Desk {
+            now,
+            named,
+            clients,
+            nodes,
+            names: Names::default(),
+            counts: Counts::default(),
+            held: Slots::default(),
+            came: VecDeque::new(),
+            wake_at: None,
+            wants_watch: false,
+            wants_list: false,
+            listed: Vec::new(),
+        }
+    }
+
+    fn millis(&self) -> Millis {
+        millis(self.now)
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.held.len()
+    }
+
+    /// The whole request of a client's connection.
+    pub fn asked(&mut self, scheduler: &mut Scheduler, at: u32, ready: bool) {
+        let now = self.millis();
+        let Some((head, body)) = self.clients.request(at) else { return };
+        match request::read(&head, body.len(), &self.named) {
+            Err(wrong) => self.clients.wrong(at, wrong.status(), wrong.words(), now),
+            Ok(Asked::Ready) if ready => self.clients.answer(at, 200, b"ready", 0, now),
+            Ok(Asked::Ready) => self.clients.answer(at, answer::SHED, b"no list yet", 0, now),
+            // Whoever has gone gets nothing done: no node works for it.
+            Ok(Asked::Block(_)) if self.clients.left(at) => {
+                self.clients.answer(at, answer::SHED, b"", 0, now);
+            }
+            Ok(Asked::Block(block)) => {
+                let id = BioId(self.held.next());
+                let Some(bio) = self.names.take(id, &block, self.now) else {
+                    return self.clients.wrong(at, 409, "this id is in hand", now);
+                };
+                let (id, client, hard_limit) = (block.id, Some(at), bio.hard_limit);
+                self.held.put(Held { id, client, submits: 0, line: None, hard_limit });
+                self.counts.taken += 1;
+                self.clients.taken(at, bio.id, now);
+                let now = self.now;
+                scheduler.take(self, now, bio);
+                self.settle(scheduler);
+            }
+        }
+    }
+
+    /// The client of a block I/O has gone.
+    pub fn left(&mut self, scheduler: &mut Scheduler, bio: BioId) {
+        if let Some(at) = self.held.get_mut(bio.0).and_then(|h| h.client.take()) {
+            self.counts.left += 1;
+            let now = self.now;
+            scheduler.gone(self, now, bio);
+            // It may have closed only its own side; then this still tells it.
+            self.clients.answer(at, answer::FAILED, b"", 0, self.millis());
+            self.settle(scheduler);
+        }
+    }
+
+    /// A connection to a node is ready.
+    pub fn node_ready(&mut self, scheduler: &mut Scheduler, at: u32, writable: bool, scratch: &mut [u8]) {
+        match self.nodes.ready(at, writable, scratch, self.now) {
+            Ready::Nothing => {}
+            Ready::Came(came) => self.came.push_back(came),
+            Ready::Good(good) => self.pass_on(&good),
+        }
+        self.settle(scheduler);
+    }
+
+    /// Gives a client the body that a node made for its request.
+    fn pass_on(&mut self, good: &Good) {
+        let client = self.held.get_mut(good.came.bio.0).and_then(|h| h.client.take());
+        if let Some(at) = client {
+            self.counts.ended += 1;
+            self.clients.answer(at, 200, self.nodes.body(good), 0, millis(self.now));
+        }
+        self.nodes.done(good, self.now);
+        self.came.push_back(good.came);
+    }
+
+    /// Submits whose time is up.
+    pub fn overdue(&mut self, scheduler: &mut Scheduler) {
+        while let Some(came) = self.nodes.overdue(self.now) {
+            self.came.push_back(came);
+            self.settle(scheduler);
+        }
+    }
+
+    /// Tells the scheduler what came of submits, until nothing more has.
+    pub fn settle(&mut self, scheduler: &mut Scheduler) {
+        while let Some(came) = self.came.pop_front() {
+            let Some(held) = self.held.get_mut(came.bio.0) else { continue };
+            held.line = None;
+            let said = came.said;
+            let outcome = Outcome {
+                ending: came.ending,
+                node: came.node,
+                closed: held.client.is_none(),
+                wait: self.now - came.since,
+                by_others: said.map_or(0.0, |s| s.by_others),
+                used: said.map_or(0.0, |s| s.used),
+                report: said.map_or(Report::default(), |s| s.report),
+            };
+            let now = self.now;
+            scheduler.ended(self, now, came.bio, &outcome);
+        }
+    }
+
+    /// The node list spoke.
+    pub fn listed(&mut self, scheduler: &mut Scheduler, form: ListForm, news: &News) {
+        let mut listed = std::mem::take(&mut self.listed);
+        self.names.listed(news, &self.named, &mut listed);
+        for entry in &news.entries {
+            let open = entry.health == Health::Ready;
+            if let Some(node) = self.names.find_node(&entry.name) {
+                self.nodes.listed(node, entry.dial, open);
+            }
+        }
+        // A drain told while a submit still waits for its connection stops it.
+        let whole = form != ListForm::Changes;
+        let closed = |node: NodeId| {
+            let told = listed.iter().find(|l| l.node == node);
+            told.map_or(whole, |l| l.state != NodeState::Active)
+        };
+        let nodes: Vec<NodeId> = self.nodes.ids().filter(|n| closed(*n)).collect();
+        for node in nodes {
+            let came = &mut self.came;
+            self.nodes.call_back(node, &mut |c| came.push_back(c));
+        }
+        let now = self.now;
+        scheduler.listed(self, now, form, &listed);
+        self.listed = listed;
+        self.settle(scheduler);
+    }
+
+    pub fn list_failed(&mut self, scheduler: &mut Scheduler) {
+        let now = self.now;
+        scheduler.listed(self, now, ListForm::Failed, &[]);
+        self.settle(scheduler);
+    }
+
+    /// The time that the scheduler asked for has come.
+    pub fn woken(&mut self, scheduler: &mut Scheduler) {
+        if self.wake_at.is_some_and(|at| at <= self.now) {
+            self.wake_at = None;
+            let now = self.now;
+            scheduler.woken(self, now);
+            self.settle(scheduler);
+        }
+    }
+
+    fn final_answer(&mut self, bio: BioId, status: u16, come_back: Tick) -> bool {
+        let client = self.held.get_mut(bio.0).and_then(|h| h.client.take());
+        if let Some(at) = client {
+            self.clients.answer(at, status, b"", millis(come_back), self.millis());
+        }
+        client.is_some()
+    }
+}
+
+impl Host for Desk {
+    fn submit(&mut self, bio: BioId, node: NodeId, limit: Tick) {
+        let now = self.now;
+        let most = self.named.terms.max_submits;
+        let Some(held) = self.held.get_mut(bio.0) else { return };
+        held.submits += 1;
+        let moot = held.hard_limit <= now || limit <= 0 || most > 0 && held.submits > most;
+        let request = held.client.filter(|_| !moot).and_then(|at| self.clients.request(at));
+        let sent = match request {
+            // Over, past its limit, or one submit too many.
+            None => Err(Ending::Moot),
+            Some((head, body)) => {
+                let wait = millis(limit).max(1);
+                self.nodes.submit(bio, node, now, limit, |out| request::write(out, &head, body, wait))
+            }
+        };
+        match sent {
+            Ok((line, came)) => {
+                held.line = Some(line);
+                self.came.extend(came);
+            }
+            Err(ending) => {
+                self.counts.never_sent += 1;
+                self.came.push_back(Came { bio, node, ending, since: now, said: None });
+            }
+        }
+    }
+
+    fn cancel(&mut self, bio: BioId, nth: u32) {
+        let Some(held) = self.held.get_mut(bio.0).filter(|h| nth + 1 == h.submits) else { return };
+        // Without a connection its outcome is on its way already.
+        let cut = held.line.take().and_then(|line| self.nodes.cut(line));
+        if let Some((came, _)) = cut {
+            self.came.push_back(came);
+        }
+    }
+
+    fn shed(&mut self, bio: BioId, come_back: Tick) {
+        self.counts.shed += u64::from(self.final_answer(bio, answer::SHED, come_back));
+    }
+
+    fn fail(&mut self, bio: BioId) {
+        self.counts.failed += u64::from(self.final_answer(bio, answer::FAILED, 0));
+    }
+
+    fn wake(&mut self, after: Tick) {
+        let at = self.now + after;
+        self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
+    }
+
+    /// The users' protocol has no probe on these terms, which say so.
+    fn probe(&mut self, _node: NodeId) {}
+
+    fn watch_list(&mut self) {
+        self.wants_watch = true;
+    }
+
+    fn fetch_list(&mut self) {
+        self.wants_list = true;
+    }
+
+    /// Hosts can't talk to each other on these terms, which say so.
+    fn tell_peers(&mut self, _bytes: &[u8]) {}
+
+    fn release_bio(&mut self, bio: BioId) {
+        if let Some(held) = self.held.take(bio.0) {
+            self.names.release_bio(&held.id);
+        }
+    }
+
+    fn release_key(&mut self, key: KeyId) {
+        self.names.release_key(key);
+    }
+
+    fn release_volume(&mut self, vol: VolId) {
+        self.names.release_volume(vol);
+    }
+}
--- /dev/null
+++ b/crates/platform-host/src/lib.rs
@@ -0,0 +1,37 @@
+//! The real host on the users' platform: one thread and one loop on `mio`. Clients and nodes speak HTTP/1.1;
+//! every decision on a block I/O is the scheduler's, every one on a connection `mallowseam-conduct`'s.
+//!
+//! - `run`: the loop, signals, the configuration.
+//! - `desk`: what is in hand; carries out what the scheduler asks.
+//! - `clients`, `nodes`, `discovery`: the three kinds of connections.
+mod clients;
+mod desk;
+mod discovery;
+mod nodes;
+mod run;
+
+pub use run::{Failure, run};
+
+use mallowseam_http1::Bounds;
+
+/// A message of the users' protocol: 64 KiB of body at most, and heads of some hundred bytes.
+const MESSAGE: Bounds = Bounds { head: 8 * 1024, body: 64 * 1024 };
+/// Buffers that a long message has made larger than this are given back.
+const KEPT: usize = 4 * 1024;
+
+/// Empties a buffer for its next use.
+fn tidy(buffer: &mut Vec<u8>) {
+    buffer.clear();
+    if buffer.capacity() > KEPT {
+        *buffer = Vec::new();
+    }
+}
+
+/// Takes bytes off a buffer's front.
+fn take_front(buffer: &mut Vec<u8>, count: usize) {
+    if count >= buffer.len() {
+        tidy(buffer);
+    } else {
+        drop(buffer.drain(..count));
+    }
+}
--- /dev/null
+++ b/crates/platform-host/src/nodes.rs
@@ -0,0 +1,459 @@
+//! Connections to nodes: one submit at a time on each, kept and used again.
+use crate::{MESSAGE, tidy};
+use mallowseam_conduct::parting;
+use mallowseam_http1::{AnswerHead, AnswerReader, Whole};
+use mallowseam_platform::answer::{self, Said};
+use mallowseam_scheduler::host::{BioId, Ending, NodeId, Tick};
+use mallowseam_sockets::clock::millis;
+use mallowseam_sockets::slots::Slots;
+use mallowseam_sockets::wire::{self, Tried};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+/// The submit that a connection carries.
+#[derive(Clone, Copy)]
+struct Carried {
+    bio: BioId,
+    /// When the scheduler submitted it; waits count from there.
+    since: Tick,
+    limit_at: Tick,
+    connect_by: Tick,
+    /// Tells it from any other that its connection has carried.
+    serial: u64,
+}
+
+struct Line {
+    socket: TcpStream,
+    node: NodeId,
+    up: bool,
+    carried: Option<Carried>,
+    out: Vec<u8>,
+    sent: usize,
+    buffer: Vec<u8>,
+    reader: AnswerReader,
+    idle_since: Tick,
+}
+
+impl Line {
+    fn written(&self) -> bool {
+        self.up && self.sent == self.out.len()
+    }
+}
+
+/// A node as this host reaches it. What it showed on its sockets is counted for the log.
+#[derive(Default)]
+pub struct Node {
+    dial: Option<SocketAddr>,
+    /// Idle connections, the latest used last.
+    idle: Vec<u32>,
+    pub lines: usize,
+    pub submits: u64,
+    pub opened: u64,
+    pub written: u64,
+    pub answered: u64,
+    pub spoilt: u64,
+    /// Slowest good answer since the last log line.
+    pub slowest: Tick,
+}
+
+/// What came of a submit.
+#[derive(Clone, Copy)]
+pub struct Came {
+    pub bio: BioId,
+    pub node: NodeId,
+    pub ending: Ending,
+    pub since: Tick,
+    pub said: Option<Said>,
+}
+
+pub struct Nodes {
+    all: Vec<Option<Node>>,
+    lines: Slots<Line>,
+    registry: Registry,
+    token: fn(u32) -> Token,
+    most: usize,
+    connect_within: Tick,
+    idle_close: Tick,
+    serial: u64,
+    timers: BinaryHeap<Reverse<(Tick, u32, u64)>>,
+}
+
+/// A whole good answer, to be passed on; `at`: the connection that has it.
+pub struct Good {
+    pub at: u32,
+    pub came: Came,
+    whole: Whole,
+    close: bool,
+}
+
+/// What a ready connection came to.
+pub enum Ready {
+    Nothing,
+    Good(Good),
+    Came(Came),
+}
+
+impl Nodes {
+    pub fn new(
+        registry: Registry,
+        token: fn(u32) -> Token,
+        most: usize,
+        connect_within: Tick,
+        idle_close: Tick,
+    ) -> Self {
+        Nodes {
+            all: Vec::new(),
+            lines: Slots::default(),
+            registry,
+            token,
+            most,
+            connect_within,
+            idle_close,
+            serial: 0,
+            timers: BinaryHeap::new(),
+        }
+    }
+
+    /// Connections held.
+    pub fn len(&self) -> usize {
+        self.lines.len()
+    }
+
+    pub fn node(&self, at: NodeId) -> Option<&Node> {
+        self.all.get(at.0 as usize)?.as_ref()
+    }
+
+    pub fn node_mut(&mut self, at: NodeId) -> Option<&mut Node> {
+        self.all.get_mut(at.0 as usize)?.as_mut()
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = NodeId> {
+        self.all.iter().enumerate().filter(|(_, n)| n.is_some()).map(|(at, _)| NodeId(at as u32))
+    }
+
+    /// The list names a node's address. `open`: new submits may go there.
+    pub fn listed(&mut self, at: NodeId, dial: SocketAddr, open: bool) {
+        if self.all.len() <= at.0 as usize {
+            self.all.resize_with(at.0 as usize + 1, || None);
+        }
+        let node = self.all[at.0 as usize].get_or_insert_with(Node::default);
+        let moved = node.dial.replace(dial).is_some_and(|was| was != dial);
+        if moved || !open {
+            self.drop_idle(at);
+        }
+    }
+
+    fn drop_idle(&mut self, at: NodeId) {
+        while let Some(line) = self.node(at).and_then(|n| n.idle.last().copied()) {
+            self.close(line);
+        }
+    }
+
+    /// Submits that wait for a connection to a node that takes nothing new: they were never sent.
+    pub fn call_back(&mut self, at: NodeId, came: &mut impl FnMut(Came)) {
+        for line in 0..self.lines.places() {
+            let waits = self.lines.get(line).is_some_and(|l| l.node == at && !l.up);
+            if waits && let Some(carried) = self.close(line) {
+                came(Came {
+                    bio: carried.bio,
+                    node: at,
+                    ending: Ending::Moot,
+                    since: carried.since,
+                    said: None,
+                });
+            }
+        }
+    }
+
+    fn close(&mut self, at: u32) -> Option<Carried> {
+        let mut line = self.lines.take(at)?;
+        let _ = self.registry.deregister(&mut line.socket);
+        if let Some(node) = self.node_mut(line.node) {
+            node.lines -= 1;
+            node.idle.retain(|l| *l != at);
+        }
+        line.carried
+    }
+
+    /// An idle connection to a node that may carry a submit: alive, and with nothing unasked on it.
+    fn idle(&mut self, at: NodeId, now: Tick) -> Option<u32> {
+        loop {
+            let node = self.node(at)?;
+            let idle =
+                node.idle.iter().map(|l| millis(now - self.lines.get(*l).map_or(now, |l| l.idle_since)));
+            let chosen = parting::choose(idle, millis(self.idle_close))?;
+            let line = node.idle[chosen];
+            let mut byte = [0; 1];
+            let read = self.lines.get_mut(line).map(|l| wire::read(&mut l.socket, &mut byte));
+            if let Some(Tried::Blocked) = read {
+                self.node_mut(at)?.idle.remove(chosen);
+                return Some(line);
+            }
+            self.close(line);
+        }
+    }
+
+    fn open(&mut self, at: NodeId, now: Tick) -> Result<u32, Ending> {
+        if self.lines.len() >= self.most {
+            // The longest idle of all gives way; with none idle, this host is what is short.
+            let idle = self.lines.iter().filter(|(_, l)| l.up && l.carried.is_none());
+            let oldest = idle.min_by_key(|(_, l)| l.idle_since).map(|(line, _)| line);
+            self.close(oldest.ok_or(Ending::Moot)?);
+        }
+        let dial = self.node(at).and_then(|n| n.dial).ok_or(Ending::Moot)?;
+        let mut socket = TcpStream::connect(dial).map_err(|_| Ending::NoConnect)?;
+        let _ = socket.set_nodelay(true);
+        let place = self.lines.next();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.registry.register(&mut socket, (self.token)(place), interest).map_err(|_| Ending::Moot)?;
+        self.lines.put(Line {
+            socket,
+            node: at,
+            up: false,
+            carried: None,
+            out: Vec::new(),
+            sent: 0,
+            buffer: Vec::new(),
+            reader: AnswerReader::default(),
+            idle_since: now,
+        });
+        if let Some(node) = self.node_mut(at) {
+            node.lines += 1;
+            node.opened += 1;
+        }
+        Ok(place)
+    }
+
+    /// Sends a block I/O, written by `write`, on a connection of its own until it is answered. Error: it was
+    /// not sent. Ok: the connection, and what came of it where that is known at once.
+    pub fn submit(
+        &mut self,
+        bio: BioId,
+        at: NodeId,
+        now: Tick,
+        limit: Tick,
+        write: impl FnOnce(&mut Vec<u8>),
+    ) -> Result<(u32, Option<Came>), Ending> {
+        let place = match self.idle(at, now) {
+            Some(place) => place,
+            None => self.open(at, now)?,
+        };
+        self.serial += 1;
+        let carried = Carried {
+            bio,
+            since: now,
+            limit_at: now + limit,
+            connect_by: now + self.connect_within,
+            serial: self.serial,
+        };
+        if let Some(node) = self.node_mut(at) {
+            node.submits += 1;
+        }
+        let line = self.lines.get_mut(place).expect("just had");
+        write(&mut line.out);
+        line.carried = Some(carried);
+        self.timers.push(Reverse((carried.limit_at, place, carried.serial)));
+        if !line.up {
+            self.timers.push(Reverse((carried.connect_by.min(carried.limit_at), place, carried.serial)));
+            return Ok((place, None));
+        }
+        // A connection that dies under an unfinished submit says nothing of the node when it was an old one.
+        Ok((place, self.push(place, Ending::Moot)))
+    }
+
+    /// Writes what a connection still has to send. Some: it broke.
+    fn push(&mut self, place: u32, broken: Ending) -> Option<Came> {
+        let line = self.lines.get_mut(place)?;
+        let carried = line.carried?;
+        if line.sent == line.out.len() {
+            return None;
+        }
+        let node = line.node;
+        let (sent, fault) = match wire::send(&mut line.socket, &line.out[line.sent..]) {
+            Ok(sent) => (sent, false),
+            Err((sent, _)) => (sent, true),
+        };
+        line.sent += sent;
+        let whole = line.sent == line.out.len();
+        if whole && let Some(node) = self.node_mut(node) {
+            node.written += 1;
+        }
+        if !fault {
+            return None;
+        }
+        self.close(place);
+        // Before the last byte is written nothing has run; after it, it may have.
+        let ending = if whole { Ending::Reset } else { broken };
+        Some(Came { bio: carried.bio, node, ending, since: carried.since, said: None })
+    }
+
+    /// Ends the submit that a connection carries; whether it was written whole.
+    pub fn cut(&mut self, place: u32) -> Option<(Came, bool)> {
+        let line = self.lines.get(place)?;
+        let (written, node) = (line.written(), line.node);
+        let carried = self.close(place)?;
+        let ending = if written { Ending::Cancelled } else { Ending::Moot };
+        Some((Came { bio: carried.bio, node, ending, since: carried.since, said: None }, written))
+    }
+
+    /// The poll has something of a connection.
+    pub fn ready(&mut self, place: u32, writable: bool, scratch: &mut [u8], now: Tick) -> Ready {
+        let Some(line) = self.lines.get_mut(place) else { return Ready::Nothing };
+        let node = line.node;
+        let Some(carried) = line.carried else {
+            // Bytes unasked, or the end: either way it is of no more use.
+            let mut byte = [0; 1];
+            if !matches!(wire::read(&mut line.socket, &mut byte), Tried::Blocked) {
+                self.close(place);
+            }
+            return Ready::Nothing;
+        };
+        let came = |ending| Came { bio: carried.bio, node, ending, since: carried.since, said: None };
+        if !line.up {
+            let failed = line.socket.take_error().map_or(true, |e| e.is_some());
+            if failed {
+                self.close(place);
+                return Ready::Came(came(Ending::NoConnect));
+            }
+            if line.socket.peer_addr().is_err() {
+                return Ready::Nothing;
+            }
+            line.up = true;
+        }
+        if (writable || line.sent < line.out.len())
+            && let Some(came) = self.push(place, Ending::NoConnect)
+        {
+            return Ready::Came(came);
+        }
+        self.read(place, scratch, now, &came)
+    }
+
+    fn read(&mut self, place: u32, scratch: &mut [u8], now: Tick, came: &impl Fn(Ending) -> Came) -> Ready {
+        let Some(line) = self.lines.get_mut(place) else { return Ready::Nothing };
+        let written = line.written();
+        let cut_off = if written { Ending::Reset } else { Ending::NoConnect };
+        loop {
+            let room = (MESSAGE.buffer() + 1 - line.buffer.len().min(MESSAGE.buffer())).min(scratch.len());
+            match wire::read(&mut line.socket, &mut scratch[..room]) {
+                Tried::Blocked => return Ready::Nothing,
+                Tried::Over(_) => {
+                    self.close(place);
+                    return Ready::Came(came(cut_off));
+                }
+                Tried::Read(count) => line.buffer.extend_from_slice(&scratch[..count]),
+            }
+            match line.reader.advance(&mut line.buffer, MESSAGE) {
+                Ok(None) => {}
+                Ok(Some(whole)) => return self.answered(place, whole, now, came),
+                Err(_) => {
+                    let node = line.node;
+                    self.close(place);
+                    if let Some(node) = self.node_mut(node) {
+                        node.spoilt += 1;
+                    }
+                    // It may have run whatever the answer was meant to be.
+                    return Ready::Came(came(Ending::Error));
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, place: u32, whole: Whole, now: Tick, came: &impl Fn(Ending) -> Came) -> Ready {
+        let Some(line) = self.lines.get(place) else { return Ready::Nothing };
+        let head =
+            AnswerHead::read(&line.buffer[whole.start..], MESSAGE).ok().flatten().expect("read before");
+        let said = answer::read(&head);
+        let close = head.close || line.buffer.len() > whole.end || !line.written();
+        let node = line.node;
+        let came = Came { said: Some(said), ..came(said.ending) };
+        if let Some(node) = self.node_mut(node) {
+            node.answered += 1;
+            if said.ending == Ending::Done {
+                node.slowest = node.slowest.max(now - came.since);
+            }
+        }
+        if said.ending == Ending::Done {
+            return Ready::Good(Good { at: place, came, whole, close });
+        }
+        self.rest(place, close, now);
+        Ready::Came(came)
+    }
+
+    /// The body of a good answer.
+    pub fn body(&self, good: &Good) -> &[u8] {
+        self.lines.get(good.at).map_or(&[], |l| &l.buffer[good.whole.body..good.whole.end])
+    }
+
+    /// A good answer was passed on.
+    pub fn done(&mut self, good: &Good, now: Tick) {
+        self.rest(good.at, good.close, now);
+    }
+
+    /// A connection with nothing more to do waits for its next submit, or ends.
+    fn rest(&mut self, place: u32, close: bool, now: Tick) {
+        if close {
+            self.close(place);
+            return;
+        }
+        let Some(line) = self.lines.get_mut(place) else { return };
+        (line.carried, line.sent, line.idle_since) = (None, 0, now);
+        line.reader = AnswerReader::default();
+        tidy(&mut line.out);
+        tidy(&mut line.buffer);
+        let node = line.node;
+        match self.node_mut(node) {
+            Some(node) => node.idle.push(place),
+            None => drop(self.close(place)),
+        }
+    }
+
+    /// When the next submit's time is up, if it is still out by then.
+    pub fn next_timer(&self) -> Option<Tick> {
+        self.timers.peek().map(|t| t.0.0)
+    }
+
+    /// Submits whose time is up.
+    pub fn overdue(&mut self, now: Tick) -> Option<Came> {
+        while let Some(&Reverse((at, place, serial))) = self.timers.peek() {
+            if at > now {
+                return None;
+            }
+            self.timers.pop();
+            let Some(line) = self.lines.get(place) else { continue };
+            let Some(carried) = line.carried.filter(|c| c.serial == serial) else { continue };
+            let ending = if line.written() {
+                Ending::TimedOut
+            } else if !line.up && now >= carried.connect_by {
+                Ending::NoConnect
+            } else if now >= carried.limit_at {
+                Ending::Moot
+            } else {
+                continue;
+            };
+            if ending == Ending::TimedOut && now < carried.limit_at {
+                continue;
+            }
+            let node = line.node;
+            self.close(place);
+            return Some(Came { bio: carried.bio, node, ending, since: carried.since, said: None });
+        }
+        None
+    }
+
+    /// Gives up idle connections before their nodes do.
+    pub fn look(&mut self, now: Tick) {
+        for place in 0..self.lines.places() {
+            let old = |l: &Line| {
+                l.carried.is_none()
+                    && parting::fit(millis(now - l.idle_since), millis(self.idle_close))
+                        == parting::Fit::TooOld
+            };
+            if self.lines.get(place).is_some_and(old) {
+                self.close(place);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform-host/src/run.rs
@@ -0,0 +1,446 @@
+//! The loop: one thread between clients, nodes, the list service and the scheduler.
+use crate::MESSAGE;
+use crate::clients::{Came, Clients};
+use crate::desk::Desk;
+use crate::discovery::{Call, Heard};
+use crate::nodes::Nodes;
+use mallowseam_conduct::front::{self, Doing};
+use mallowseam_conduct::{Millis, parting};
+use mallowseam_platform::config::{self, Config};
+use mallowseam_platform::list::News;
+use mallowseam_scheduler::host::{ListForm, NodeId, Tick};
+use mallowseam_scheduler::scheduler::Scheduler;
+use mallowseam_sockets::clock::{Clock, millis, span};
+use mio::net::{TcpListener, UnixStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use std::io::{self, ErrorKind, Read};
+use std::path::{Path, PathBuf};
+
+const LISTENER: Token = Token(0);
+const TERM: Token = Token(1);
+const HUP: Token = Token(2);
+const WATCH: Token = Token(3);
+const FETCH: Token = Token(4);
+const CALLERS: usize = 8;
+/// Bytes read from a socket in one go.
+const SCRATCH: usize = 128 * 1024;
+/// Events of one round; the rest keep for the next.
+const EVENTS: usize = 512;
+/// Connections accepted and turns given in one round: then nodes and the list are heard again.
+const ROUND: usize = 64;
+/// Ticks between two looks at how connections stand: fine enough for times of seconds.
+const LOOK: Tick = 500;
+/// Ticks between two lines of the log on what is believed and what passed.
+const TELL: Tick = 50_000;
+
+/// Why a host could not run.
+#[derive(Debug)]
+pub struct Failure(String);
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn failure(what: impl std::fmt::Display) -> impl FnOnce(io::Error) -> Failure {
+    move |e| Failure(format!("{what}: {e}"))
+}
+
+fn client_token(at: u32) -> Token {
+    Token(CALLERS + 2 * at as usize)
+}
+
+fn line_token(at: u32) -> Token {
+    Token(CALLERS + 2 * at as usize + 1)
+}
+
+struct Platform {
+    path: PathBuf,
+    config: Config,
+    clock: Clock,
+    scheduler: Scheduler,
+    desk: Desk,
+    registry: Registry,
+    listener: Option<TcpListener>,
+    accepting: bool,
+    term: UnixStream,
+    hup: UnixStream,
+    watch: Option<Call>,
+    fetch: Option<Call>,
+    /// The version of the list, once one was told.
+    seq: Option<u64>,
+    told: bool,
+    /// Since when the host is to end.
+    leaving: Option<Millis>,
+    scratch: Vec<u8>,
+    looked: Tick,
+    logged: Tick,
+}
+
+fn load(path: &Path) -> Result<Config, Failure> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(failure(&name))?;
+    config::read(&text).map_err(|problems| Failure(format!("{name}:\n{problems}")))
+}
+
+/// Runs a host by the configuration at a path until it is told to end.
+pub fn run(path: &Path) -> Result<(), Failure> {
+    let config = load(path)?;
+    let mut poll = Poll::new().map_err(failure("poll"))?;
+    let mut host = Platform::open(path, config, &poll)?;
+    let mut events = Events::with_capacity(EVENTS);
+    host.start();
+    while !host.over() {
+        match poll.poll(&mut events, Some(host.wait())) {
+            Err(e) if e.kind() != ErrorKind::Interrupted => return Err(failure("poll")(e)),
+            _ => {}
+        }
+        host.round(&events);
+    }
+    tracing::info!("host ends");
+    Ok(())
+}
+
+fn signal(poll: &Poll, token: Token, signals: &[i32]) -> io::Result<UnixStream> {
+    let (mine, theirs) = std::os::unix::net::UnixStream::pair()?;
+    mine.set_nonblocking(true)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
+    }
+    let mut mine = UnixStream::from_std(mine);
+    poll.registry().register(&mut mine, token, Interest::READABLE)?;
+    Ok(mine)
+}
+
+fn drain(socket: &mut UnixStream) -> bool {
+    let mut any = false;
+    let mut bytes = [0; 16];
+    while matches!(socket.read(&mut bytes), Ok(n) if n > 0) {
+        any = true;
+    }
+    any
+}
+
+impl Platform {
+    fn open(path: &Path, config: Config, poll: &Poll) -> Result<Self, Failure> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        let registry = || poll.registry().try_clone().map_err(failure("poll"));
+        let hup = signal(poll, HUP, &[SIGHUP]).map_err(failure("signals"))?;
+        let term = signal(poll, TERM, &[SIGTERM, SIGINT]).map_err(failure("signals"))?;
+        let listening = failure(format!("listen {}", config.listen));
+        let mut listener = TcpListener::bind(config.listen).map_err(listening)?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(failure("poll"))?;
+        let parting = parting::part(config.sockets, config.memory_mb, MESSAGE.buffer());
+        let clock = Clock::of_day();
+        let now = clock.now();
+        let mut named = config.named.clone();
+        // On the platform the list is always asked for.
+        named.terms.list_on_request = true;
+        let clients = Clients::new(registry()?, client_token, parting.clients, parting.client_bytes);
+        let nodes =
+            Nodes::new(registry()?, line_token, parting.nodes, named.connect_within, named.idle_close);
+        tracing::info!(
+            host = config.name,
+            listen = %config.listen,
+            discovery = %config.discovery,
+            clients = parting.clients,
+            nodes = parting.nodes,
+            memory_mb = config.memory_mb,
+            known = config.known.as_ref().map_or(0, |k| k.entries.len()),
+            "host starts"
+        );
+        Ok(Platform {
+            path: path.to_owned(),
+            scheduler: Scheduler::new(&named.terms, config.seed, now),
+            desk: Desk::new(now, named, clients, nodes),
+            registry: registry()?,
+            listener: Some(listener),
+            accepting: false,
+            term,
+            hup,
+            watch: None,
+            fetch: None,
+            seq: None,
+            told: false,
+            leaving: None,
+            scratch: vec![0; SCRATCH],
+            looked: now,
+            logged: now,
+            clock,
+            config,
+        })
+    }
+
+    fn start(&mut self) {
+        self.tick();
+        if let Some(known) = self.config.known.take() {
+            self.told = !known.entries.is_empty();
+            self.seq = Some(known.seq);
+            self.desk.listed(&mut self.scheduler, ListForm::Kept, &known);
+        }
+        // The first wake-up: the scheduler asks for the list and its windows from here on. What it has asked for
+        // before stands: it names each time once.
+        self.scheduler.woken(&mut self.desk, self.clock.now());
+        self.finish();
+    }
+
+    fn tick(&mut self) {
+        self.desk.now = self.clock.now();
+    }
+
+    fn over(&self) -> bool {
+        let clients = self.desk.clients.len();
+        self.leaving.is_some_and(|told| front::ends(told, millis(self.desk.now), clients))
+    }
+
+    fn wait(&self) -> std::time::Duration {
+        if self.accepting || !self.desk.clients.turns.is_empty() {
+            return std::time::Duration::ZERO;
+        }
+        let mut due = self.looked + LOOK;
+        for at in [self.desk.wake_at, self.desk.nodes.next_timer()].into_iter().flatten() {
+            due = due.min(at);
+        }
+        span(due - self.clock.now())
+    }
+
+    /// One round: the list and the nodes are heard ahead of new work of clients, and time-outs count only what
+    /// had not come by now.
+    fn round(&mut self, events: &Events) {
+        self.tick();
+        for event in events {
+            match event.token() {
+                WATCH => self.hear(WATCH),
+                FETCH => self.hear(FETCH),
+                HUP if drain(&mut self.hup) => self.reload(),
+                TERM if drain(&mut self.term) => self.leave(),
+                LISTENER => self.accepting = true,
+                _ => {}
+            }
+        }
+        for event in events {
+            let Token(token) = event.token();
+            if token >= CALLERS && !(token - CALLERS).is_multiple_of(2) {
+                self.tick();
+                let at = ((token - CALLERS) / 2) as u32;
+                let writable = event.is_writable();
+                self.desk.node_ready(&mut self.scheduler, at, writable, &mut self.scratch);
+            }
+        }
+        for event in events {
+            let Token(token) = event.token();
+            if token >= CALLERS && (token - CALLERS).is_multiple_of(2) {
+                self.tick();
+                let at = ((token - CALLERS) / 2) as u32;
+                let ended = event.is_read_closed() || event.is_error();
+                let now = millis(self.desk.now);
+                if let Some(bio) = self.desk.clients.ready(at, event.is_readable(), ended, now) {
+                    self.desk.left(&mut self.scheduler, bio);
+                }
+            }
+        }
+        if self.accepting {
+            self.accept();
+        }
+        for _ in 0..self.desk.clients.turns.len().min(ROUND) {
+            let Some(at) = self.desk.clients.turns.pop_front() else { break };
+            self.tick();
+            match self.desk.clients.turn(at, &mut self.scratch, millis(self.desk.now)) {
+                Came::Request => self.desk.asked(&mut self.scheduler, at, self.told),
+                Came::Nothing => {}
+            }
+        }
+        self.finish();
+    }
+
+    /// What is due by time.
+    fn finish(&mut self) {
+        self.tick();
+        self.desk.overdue(&mut self.scheduler);
+        self.desk.woken(&mut self.scheduler);
+        if std::mem::take(&mut self.desk.wants_watch) {
+            self.call(WATCH);
+        }
+        if std::mem::take(&mut self.desk.wants_list) {
+            self.call(FETCH);
+        }
+        if self.desk.now >= self.looked + LOOK {
+            self.looked = self.desk.now;
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        let now = millis(self.desk.now);
+        self.desk.clients.look(now);
+        self.desk.nodes.look(self.desk.now);
+        for token in [WATCH, FETCH] {
+            if self.place(token).as_ref().is_some_and(|c| now >= c.fails_at()) {
+                self.lost(token, "silent");
+            }
+        }
+        if self.leaving.is_some() && !front::lets_in(self.leaving, now) {
+            self.shut();
+        }
+        if self.desk.now >= self.logged + TELL {
+            self.logged = self.desk.now;
+            self.tell();
+        }
+    }
+
+    fn accept(&mut self) {
+        let Some(listener) = &self.listener else {
+            self.accepting = false;
+            return;
+        };
+        for _ in 0..ROUND {
+            match listener.accept() {
+                Ok((socket, _)) => self.desk.clients.enter(socket, millis(self.desk.now)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.accepting = false;
+                    return;
+                }
+                // A connection that is gone by now, or a descriptor short: the next round tries again.
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// The listener is closed once nothing waits at it.
+    fn shut(&mut self) {
+        if let Some(mut listener) = self.listener.take() {
+            while let Ok((socket, _)) = listener.accept() {
+                self.desk.clients.enter(socket, millis(self.desk.now));
+            }
+            let _ = self.registry.deregister(&mut listener);
+        }
+    }
+
+    fn leave(&mut self) {
+        if self.leaving.is_none() {
+            tracing::info!(clients = self.desk.clients.len(), in_hand = self.desk.in_hand(), "told to end");
+            self.leaving = Some(millis(self.desk.now));
+            self.desk.clients.leaving = self.leaving;
+        }
+    }
+
+    fn reload(&mut self) {
+        let config = match load(&self.path) {
+            Ok(config) => config,
+            Err(why) => return tracing::error!(%why, "the configuration is not taken"),
+        };
+        if config.listen != self.config.listen || config.name != self.config.name {
+            tracing::warn!("another name or address to listen on needs a new start");
+        }
+        let (was, named) = (&self.desk.named, &config.named);
+        if named.groups == was.groups && named.plans == was.plans {
+            self.scheduler.planned(self.desk.now, &named.terms.plans, &[]);
+            self.desk.named.terms.plans.clone_from(&named.terms.plans);
+        } else {
+            tracing::warn!("other I/O groups or plans need a new start");
+        }
+        let moved = config.discovery != self.config.discovery;
+        tracing::info!(discovery = %config.discovery, moved, "the configuration is taken");
+        self.config.discovery = config.discovery;
+        if moved {
+            self.call(WATCH);
+        }
+    }
+
+    fn place(&mut self, token: Token) -> &mut Option<Call> {
+        if token == WATCH { &mut self.watch } else { &mut self.fetch }
+    }
+
+    /// Calls the list service anew.
+    fn call(&mut self, token: Token) {
+        if let Some(call) = self.place(token).take() {
+            call.end(&self.registry);
+        }
+        let (address, now) = (self.config.discovery, millis(self.desk.now));
+        match Call::open(&self.registry, token, address, self.seq, token == FETCH, now) {
+            Ok(call) => *self.place(token) = Some(call),
+            Err(why) => self.lost(token, &why),
+        }
+    }
+
+    /// A call has failed, or its watch has ended.
+    fn lost(&mut self, token: Token, why: &str) {
+        if let Some(call) = self.place(token).take() {
+            tracing::warn!(why, address = %call.address(), "the list service failed");
+            call.end(&self.registry);
+        }
+        self.desk.list_failed(&mut self.scheduler);
+    }
+
+    fn hear(&mut self, token: Token) {
+        let now = millis(self.desk.now);
+        let Some(mut call) = self.place(token).take() else { return };
+        let mut heard = Vec::new();
+        call.ready(&mut self.scratch, now, &mut |h| heard.push(h));
+        *self.place(token) = Some(call);
+        for heard in heard {
+            match heard {
+                Heard::News(news) => self.news(&news),
+                Heard::Over => {
+                    if let Some(call) = self.place(token).take() {
+                        call.end(&self.registry);
+                    }
+                }
+                Heard::Failed(why) => self.lost(token, &why),
+            }
+        }
+    }
+
+    fn news(&mut self, news: &News) {
+        // Changes older than the list are none; a whole list counts whatever its version.
+        if !news.whole && self.seq.is_some_and(|seq| news.seq <= seq) {
+            return;
+        }
+        self.seq = Some(news.seq);
+        self.told |= !news.entries.is_empty();
+        let form = if news.whole { ListForm::Whole } else { ListForm::Changes };
+        self.desk.listed(&mut self.scheduler, form, news);
+    }
+
+    /// What the scheduler believes of each node beside what passed on its sockets.
+    fn tell(&mut self) {
+        let (now, desk) = (self.desk.now, &mut self.desk);
+        let clients = &desk.clients;
+        tracing::info!(
+            clients = clients.len(),
+            silent = clients.doing(Doing::Silent),
+            idle = clients.doing(Doing::Idle),
+            bytes = clients.bytes(),
+            counts = ?clients.counts,
+            bios = ?desk.counts,
+            in_hand = desk.in_hand(),
+            lines = desk.nodes.len(),
+            names = ?desk.names.sizes(),
+            "host"
+        );
+        let ids: Vec<NodeId> = desk.nodes.ids().collect();
+        for at in ids {
+            let Some(view) = self.scheduler.view(now, at) else { continue };
+            let Some(node) = desk.nodes.node_mut(at) else { continue };
+            tracing::info!(
+                node = at.0,
+                open = view.open,
+                window = format!("{:.2}", view.window),
+                out = view.out,
+                held = view.held,
+                wait_ms = format!("{:.1}", view.wait / 10.0),
+                slowest_ms = node.slowest / 10,
+                failures = view.failures,
+                lines = node.lines,
+                submits = node.submits,
+                opened = node.opened,
+                written = node.written,
+                answered = node.answered,
+                spoilt = node.spoilt,
+                "node"
+            );
+            node.slowest = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/answer.rs
@@ -0,0 +1,76 @@
+//! A node's answer as an ending, and what a host says to its clients.
+use mallowseam_http1::AnswerHead;
+use mallowseam_scheduler::host::{Ending, Report};
+use std::io::Write;
+
+/// What a node's whole answer says.
+#[derive(Clone, Copy, Debug)]
+pub struct Said {
+    pub ending: Ending,
+    pub used: f64,
+    pub by_others: f64,
+    pub report: Report,
+}
+
+fn number(head: &AnswerHead, name: &str) -> f64 {
+    // What can't be read is as if it were absent: the answer itself is good.
+    let value = head.headers.single(name).ok().flatten().and_then(|v| v.parse::<f64>().ok());
+    value.filter(|v| v.is_finite() && *v >= 0.0).unwrap_or(0.0)
+}
+
+fn report(head: &AnswerHead) -> Report {
+    let text = head.headers.single("X-Server-Load").ok().flatten();
+    let value = text.and_then(|t| serde_json::from_str::<serde_json::Value>(t).ok()).unwrap_or_default();
+    let figure = |name: &str| value[name].as_f64().filter(|v| v.is_finite() && *v >= 0.0);
+    Report { waiting: figure("backlog"), service_ms: figure("recent_ms"), busy: figure("utilization") }
+}
+
+/// Only a node's own word that it did not run the block I/O proves so.
+pub fn read(head: &AnswerHead) -> Said {
+    let not_run = head.headers.single("X-Not-Processed").is_ok_and(|v| v == Some("1"));
+    let ending = match head.status {
+        200 => Ending::Done,
+        503 | 504 if not_run => Ending::Busy,
+        _ => Ending::Error,
+    };
+    Said { ending, used: number(head, "X-Iops-Used"), by_others: number(head, "X-Rho"), report: report(head) }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Error",
+    }
+}
+
+/// An answer to a client. `come_back`: milliseconds after which it may try again; 0 names none.
+pub fn write(out: &mut Vec<u8>, status: u16, body: &[u8], come_back: u64, close: bool) {
+    let said = "writing to memory";
+    write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len()).expect(said);
+    if come_back > 0 {
+        write!(out, "Retry-After: {}.{:03}\r\n", come_back / 1000, come_back % 1000).expect(said);
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
+
+/// The word for a client that waits to be told to send its body.
+pub const GO_ON: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Final answers: shed, trying again is harmless; failed, nothing promised.
+pub const SHED: u16 = 503;
+pub const FAILED: u16 = 500;
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,100 @@
+//! The configuration: what a host is told at its start, and again by SIGHUP.
+use crate::list::{self, News};
+use crate::settings::{self, Named};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Fewer descriptors than this leave nothing to part between clients and nodes.
+const SOCKETS_LEAST: u64 = 64;
+const MEMORY_LEAST: u64 = 16;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: u64,
+    pub sockets: u64,
+    /// The list as this host last had it.
+    pub known: Option<News>,
+    pub named: Named,
+}
+
+/// All that is wrong with a configuration, each with its field.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Problems(pub Vec<String>);
+
+impl std::fmt::Display for Problems {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0.join("\n"))
+    }
+}
+
+struct Reader(Vec<String>);
+
+impl Reader {
+    /// Notes what is wrong with a field and goes on with nothing in its place.
+    fn take<T>(&mut self, field: &str, found: Result<T, String>) -> Option<T> {
+        found.map_err(|why| self.0.push(format!("{field}: {why}"))).ok()
+    }
+
+    fn text(&mut self, v: &Value, field: &str) -> Option<String> {
+        let text = v[field].as_str().filter(|t| !t.is_empty()).map(str::to_owned);
+        self.take(field, text.ok_or_else(|| "expected a text".into()))
+    }
+
+    fn address(&mut self, v: &Value, field: &str) -> Option<SocketAddr> {
+        let address = v[field].as_str().and_then(|t| t.parse().ok());
+        self.take(field, address.ok_or_else(|| "expected address:port".into()))
+    }
+
+    fn limit(&mut self, v: &Value, field: &str, least: u64) -> Option<u64> {
+        let figure = v["limits"][field].as_f64().filter(|n| *n >= least as f64).map(|n| n as u64);
+        self.take(&format!("limits.{field}"), figure.ok_or_else(|| format!("expected {least} or more")))
+    }
+}
+
+pub fn read(text: &str) -> Result<Config, Problems> {
+    let mut v: Value = serde_json::from_str(text).map_err(|e| Problems(vec![format!("not JSON: {e}")]))?;
+    let mut r = Reader(Vec::new());
+    let name = r.text(&v, "name");
+    let listen = r.address(&v, "listen");
+    let discovery = r.address(&v, "discovery");
+    let seed = r.text(&v, "seed").and_then(|seed| {
+        let number = u64::from_str_radix(&seed, 16).map_err(|_| "expected up to 16 hex digits".into());
+        r.take("seed", number)
+    });
+    let memory_mb = r.limit(&v, "memory_mb", MEMORY_LEAST);
+    let sockets = r.limit(&v, "sockets", SOCKETS_LEAST);
+    let known = match v["known"].take() {
+        Value::Null => Some(None),
+        known => r.take("known", list::of(known)).map(Some),
+    };
+    let named = r.take("settings", settings::of(&v["settings"]));
+    if let Some(named) = &named {
+        for (field, empty) in
+            [("profiles", named.groups.is_empty()), ("service_levels", named.plans.is_empty())]
+        {
+            if empty {
+                r.0.push(format!("settings.{field}: expected at least one"));
+            }
+        }
+    }
+    if !r.0.is_empty() {
+        return Err(Problems(r.0));
+    }
+    let whole = || {
+        Some(Config {
+            name: name?,
+            listen: listen?,
+            discovery: discovery?,
+            seed: seed?,
+            memory_mb: memory_mb?,
+            sockets: sockets?,
+            known: known?,
+            named: named?,
+        })
+    };
+    whole().ok_or_else(|| Problems(vec!["a field is missing".into()]))
+}
--- a/crates/wirehost/src/terms.rs
+++ b/crates/platform/src/settings.rs
@@ -1,12 +1,23 @@
-//! Reads the settings of the first message into the scheduler's terms.
-use mallowseam_scheduler::host::{Effect, IoGroup, Plan, Scope, Terms};
+//! Reads the settings object, as the simulator's first message and a real host's configuration hold it, into
+//! the scheduler's terms.
+use mallowseam_scheduler::host::{Effect, IoGroup, Plan, Scope, Terms, Tick};
 use serde_json::Value;
 
-/// The terms, and the names under which the wire speaks of I/O groups and plans.
+/// The terms, the names that go with them, and what the settings say of connections.
+#[derive(Clone, Debug, Default)]
 pub struct Named {
     pub terms: Terms,
     pub groups: Vec<String>,
     pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    /// A connect that is not up by then has failed.
+    pub connect_within: Tick,
+    /// A node closes a connection that has stood idle for so long.
+    pub idle_close: Tick,
+    /// Block I/Os that a host may hold; 0: not told.
+    pub open_most: usize,
+    /// The longest hard limit of any I/O group.
+    pub longest: Tick,
 }
 
 fn num(v: &Value, key: &str) -> f64 {
@@ -36,6 +47,10 @@
 pub fn read(text: &str) -> Result<Named, String> {
     let v: Value =
         serde_json::from_str(text).map_err(|e| format!("settings: expected a JSON object ({e})"))?;
+    of(&v)
+}
+
+pub fn of(v: &Value) -> Result<Named, String> {
     if !v.is_object() {
         return Err("settings: expected a JSON object".into());
     }
@@ -71,9 +86,9 @@
         price: p["worth_factor"].as_f64().unwrap_or(1.0),
     };
     let terms = Terms {
-        hosts: num(&v, "balancers") as u32,
-        groups: list(&v, "profiles").iter().enumerate().map(group).collect::<Result<_, _>>()?,
-        plans: list(&v, "service_levels").iter().map(plan).collect(),
+        hosts: num(v, "balancers") as u32,
+        groups: list(v, "profiles").iter().enumerate().map(group).collect::<Result<_, _>>()?,
+        plans: list(v, "service_levels").iter().map(plan).collect(),
         mean_units: num(extra, "mean_units"),
         largest: num(extra, "largest"),
         share_gain: num(extra, "within_share"),
@@ -98,7 +113,17 @@
         budget_share: num(rules, "extra_ratio"),
         budget_span: up(rules, "look_back_us"),
     };
-    let groups = list(&v, "profiles").iter().map(name).collect();
-    let plans = list(&v, "service_levels").iter().map(name).collect();
-    Ok(Named { terms, groups, plans })
+    let groups = list(v, "profiles").iter().map(name).collect();
+    let plans = list(v, "service_levels").iter().map(name).collect();
+    let zones = list(v, "localities").iter().filter_map(|z| z.as_str().map(str::to_owned)).collect();
+    Ok(Named {
+        terms,
+        groups,
+        plans,
+        zones,
+        connect_within: up(limits, "connect_timeout_us"),
+        idle_close: down(limits, "idle_close_us"),
+        open_most: num(limits, "open_cap") as usize,
+        longest: list(v, "profiles").iter().map(|g| up(g, "deadline_us")).max().unwrap_or(0),
+    })
 }
--- a/crates/scheduler/src/door.rs
+++ b/crates/scheduler/src/door.rs
@@ -37,6 +37,15 @@
         self.names[index as usize].as_ref().expect("an index in use")
     }
 
+    /// Names in use.
+    pub fn len(&self) -> usize {
+        self.indices.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.indices.is_empty()
+    }
+
     pub fn release(&mut self, index: u32) {
         if let Some(name) = self.names[index as usize].take() {
             self.indices.remove(&name);
--- /dev/null
+++ b/crates/sockets/src/lib.rs
@@ -0,0 +1,8 @@
+//! What every host of this repository needs of its loop.
+//!
+//! - `slots`: places by small index, used again once they are free.
+//! - `clock`: ticks of a tenth of a millisecond.
+//! - `wire`: bytes between a socket and a buffer, without blocking.
+pub mod clock;
+pub mod slots;
+pub mod wire;
--- a/crates/gateway/src/slots.rs
+++ b/crates/sockets/src/slots.rs
@@ -55,6 +55,11 @@
         self.len() == 0
     }
 
+    /// The places up to the last that was ever used.
+    pub fn places(&self) -> u32 {
+        self.places.len() as u32
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (u32, &T)> {
         self.places.iter().enumerate().filter_map(|(at, v)| Some((at as u32, v.as_ref()?)))
     }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,5 +1,4 @@
 //! Runs schedulers on the simulator's wire: reads its lines from standard input, answers on standard output.
-mod terms;
 mod wire;
 
 use std::io::{BufRead, Write};
