Answers past 64 KiB are passed on, in the buffer they came in

At fault: the bound of AnswerReader in nodes.rs.

Change: bodies up to 1 MiB, within a quarter of the memory for all answers together; long ones are read straight into their buffer and that buffer is handed on to the client, without a copy. A read that gets less than it asked for is not followed by another one.

--- a/crates/conduct/src/parting.rs
+++ b/crates/conduct/src/parting.rs
@@ -7,7 +7,7 @@
 /// Of the rest, clients' part in tenths. Half of theirs may be idle or silent, while each request in hand has at
 /// most one submit out.
 const CLIENTS: u64 = 6;
-/// Parts of the memory that answers and clients' bytes may take, each one in so many.
+/// Parts of the memory that nodes' answers and clients' bytes may take, each one in so many.
 const ANSWERS_PART: u64 = 4;
 const CLIENTS_PART: u64 = 4;
 const MIB: u64 = 1 << 20;
@@ -23,18 +23,20 @@
     /// Connections of clients, and to nodes, at most.
     pub clients: usize,
     pub nodes: usize,
-    /// Bytes of requests and answers that wait for clients, all together.
+    /// Bytes of requests and answers that wait for clients, and of answers that come from nodes, all together.
     pub client_bytes: usize,
+    pub node_bytes: usize,
 }
 
-/// Parts what the configuration gives; `answer`: the most bytes that one answer may hold.
-pub fn part(sockets: u64, memory_mb: u64, answer: usize) -> Parting {
+/// Parts what the configuration gives.
+pub fn part(sockets: u64, memory_mb: u64) -> Parting {
     let free = sockets.saturating_sub(RESERVE).max(2);
-    let answers = memory_mb * MIB / ANSWERS_PART / answer.max(1) as u64;
+    let clients = (free * CLIENTS / 10).max(1);
     Parting {
-        clients: (free * CLIENTS / 10) as usize,
-        nodes: (free - free * CLIENTS / 10).min(answers).max(1) as usize,
+        clients: clients as usize,
+        nodes: (free - clients).max(1) as usize,
         client_bytes: (memory_mb * MIB / CLIENTS_PART) as usize,
+        node_bytes: (memory_mb * MIB / ANSWERS_PART) as usize,
     }
 }
 
@@ -74,15 +76,14 @@
     fn descriptors_and_memory_are_never_parted_past_what_there_is() {
         for sockets in [64, 256, 384, 1_024, 4_096] {
             for memory in [16, 32, 48, 192, 2_048] {
-                let p = part(sockets, memory, 76_000);
+                let p = part(sockets, memory);
                 assert!(p.clients + p.nodes <= (sockets - RESERVE) as usize, "{sockets} {p:?}");
-                let bytes = p.client_bytes + p.nodes * 76_000;
-                assert!(bytes as u64 <= memory * MIB / 2, "{memory} {p:?}");
+                assert!((p.client_bytes + p.node_bytes) as u64 <= memory * MIB / 2, "{memory} {p:?}");
                 assert!(p.nodes >= 1 && p.clients >= 1);
             }
         }
         // The users' clients hold a third of the descriptors at most for requests; each may have a submit out.
-        let p = part(256, 32, 76_000);
+        let p = part(256, 32);
         assert!(p.clients > 256 / 3 && p.nodes >= 256 / 3, "{p:?}");
     }
 
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -68,6 +68,37 @@
     assert!(on("a0") != on("b0") && on("a1") != on("b1"));
 }
 
+#[test]
+fn a_long_answer_in_many_pieces_to_a_slow_reader_comes_whole_and_leaves_no_bytes_counted() {
+    let rig = Rig::new(1);
+    let long: String = (0..50_000).map(|n| format!("{n:08}")).collect();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{long}", long.len());
+    // Far more in sum than may be held at a time.
+    for n in 0..60 {
+        let mut client = rig.client();
+        rig.nodes[0].next(Answer::Raw(text.clone()));
+        client.send(&stand::read_text(&format!("r{n}"), 0, 900));
+        until("it is at the node", || rig.nodes[0].seen().len() == n + 1);
+        assert!(client.answer() == Some((200, long.clone())), "answer {n}");
+    }
+}
+
+#[test]
+fn clients_that_never_read_long_answers_do_not_use_up_the_hosts_memory() {
+    let rig = Rig::new(1);
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n{}", "x".repeat(900_000));
+    let mut crowd = Vec::new();
+    for n in 0..40 {
+        let mut client = rig.client();
+        rig.nodes[0].next(Answer::Raw(text.clone()));
+        client.send(&stand::read_text(&format!("r{n}"), 0, 900));
+        until("it is at the node", || rig.nodes[0].seen().len() == n + 1);
+        crowd.push(client);
+    }
+    until("the host serves on", || rig.client().read(&format!("ok{}", rig.serial()), 0).0 == 200);
+    assert!(rig.memory_kb() < 32 * 1024, "{} kB", rig.memory_kb());
+}
+
 #[test]
 fn a_node_that_breaks_off_fails_a_write_once_and_a_refused_connection_sheds_it() {
     let mut rig = Rig::new(1);
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const BOUNDS: Bounds = Bounds { head: 16_384, body: 65_536 };
+const BOUNDS: Bounds = Bounds { head: 16_384, body: 1 << 20 };
 /// How long a story waits for what must come: far past any time in it.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -431,6 +431,12 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.host.id())).expect("a process").count()
     }
 
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.host.id())).expect("a process");
+        let line = status.lines().find(|l| l.starts_with("VmRSS")).expect("a figure");
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.host.id() as i32), signal).expect("a process");
     }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Bytes still to come, where a length says so.
+    fn lacks(&self, had: usize) -> Option<usize> {
+        match self {
+            State::Length { body, len } => Some((body + len).saturating_sub(had)),
+            _ => None,
+        }
+    }
+
     fn whole(&mut self, start: usize, buffer: &mut Vec<u8>, bounds: Bounds) -> Result<Option<Whole>, Fault> {
         match self {
             State::Head => Ok(None),
@@ -74,6 +82,7 @@
     state: State,
     looked: Looked,
     expects: bool,
+    close: bool,
 }
 
 impl RequestReader {
@@ -82,6 +91,11 @@
         std::mem::take(&mut self.expects)
     }
 
+    /// Whether the client wants the connection closed behind the answer, once the head is in.
+    pub fn closes(&self) -> bool {
+        self.close
+    }
+
     /// Looks at what has come. None: more is needed.
     pub fn advance(&mut self, buffer: &mut Vec<u8>, bounds: Bounds) -> Result<Option<Whole>, Fault> {
         if let State::Head = self.state {
@@ -90,7 +104,7 @@
             }
             let Some(head) = RequestHead::read(buffer, bounds)? else { return Ok(None) };
             self.state = State::body(head.framing, head.len);
-            self.expects = head.expects;
+            (self.expects, self.close) = (head.expects, head.close);
         }
         self.state.whole(0, buffer, bounds)
     }
@@ -111,6 +125,11 @@
 }
 
 impl AnswerReader {
+    /// Bytes still to come of an answer whose length is known, with so many in the buffer.
+    pub fn lacks(&self, had: usize) -> Option<usize> {
+        self.state.lacks(had)
+    }
+
     /// Looks at what has come. None: more is needed.
     pub fn advance(&mut self, buffer: &mut Vec<u8>, bounds: Bounds) -> Result<Option<Whole>, Fault> {
         while let State::Head = self.state {
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -6,7 +6,7 @@
 use mallowseam_platform::answer;
 use mallowseam_scheduler::host::BioId;
 use mallowseam_sockets::slots::Slots;
-use mallowseam_sockets::wire::{self, Tried};
+use mallowseam_sockets::wire::{self, Parcel, Tried};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::collections::VecDeque;
@@ -20,7 +20,7 @@
     reader: RequestReader,
     whole: Option<Whole>,
     bio: Option<BioId>,
-    out: Vec<u8>,
+    out: Parcel,
     /// The socket may have more to read; its client has ended its side; nothing follows the answer in `out`.
     readable: bool,
     left: bool,
@@ -99,6 +99,11 @@
         self.bytes
     }
 
+    /// Whether so many bytes more can be held for clients.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.bytes + bytes <= self.bytes_most
+    }
+
     /// A connection was accepted: it has a place, another gives way, or it is closed.
     pub fn enter(&mut self, mut socket: TcpStream, now: Millis) {
         self.counts.accepted += 1;
@@ -122,7 +127,7 @@
             reader: RequestReader::default(),
             whole: None,
             bio: None,
-            out: Vec::new(),
+            out: Parcel::default(),
             readable: true,
             left: false,
             last: false,
@@ -211,8 +216,8 @@
                     return Ok(true);
                 }
                 if client.reader.expects() {
-                    client.out.extend_from_slice(answer::GO_ON);
-                    wire::push(&mut client.socket, &mut client.out).map_err(|_| None)?;
+                    client.out.small.extend_from_slice(answer::GO_ON);
+                    client.out.push(&mut client.socket).map_err(|_| None)?;
                 }
             }
             if !client.readable {
@@ -220,7 +225,12 @@
             }
             let room = (MESSAGE.buffer() - client.buffer.len()).min(scratch.len());
             match wire::read(&mut client.socket, &mut scratch[..room]) {
-                Tried::Read(count) => client.buffer.extend_from_slice(&scratch[..count]),
+                Tried::Read(count) => {
+                    client.buffer.extend_from_slice(&scratch[..count]);
+                    // Less than there was room for: nothing more has come, and what does is told anew. The end
+                    // of a client's side is told once.
+                    client.readable = count == room || client.left;
+                }
                 Tried::Blocked => client.readable = false,
                 Tried::Over(_) => return Err(None),
             }
@@ -273,11 +283,28 @@
 
     /// The answer to the whole request of a connection.
     pub fn answer(&mut self, at: u32, status: u16, body: &[u8], come_back: u64, now: Millis) {
+        self.answer_with(at, status, body.len(), come_back, now, |out| out.small.extend_from_slice(body));
+    }
+
+    /// The same with a body that stands in a buffer, which is handed on.
+    pub fn hand_on(&mut self, at: u32, buffer: Vec<u8>, from: usize, to: usize, now: Millis) {
+        self.answer_with(at, 200, to - from, 0, now, |out| out.put(buffer, from, to));
+    }
+
+    fn answer_with(
+        &mut self,
+        at: u32,
+        status: u16,
+        body: usize,
+        come_back: u64,
+        now: Millis,
+        put: impl FnOnce(&mut Parcel),
+    ) {
         let Some(client) = self.all.get_mut(at) else { return };
         let before = client.bytes();
-        let asked = client.whole.and_then(|_| RequestHead::read(&client.buffer, MESSAGE).ok().flatten());
-        client.last |= self.leaving.is_some() || client.left || asked.is_none_or(|head| head.close);
-        answer::write(&mut client.out, status, body, come_back, client.last);
+        client.last |= self.leaving.is_some() || client.left || client.reader.closes();
+        answer::write(&mut client.out.small, status, body, come_back, client.last);
+        put(&mut client.out);
         if let Some(whole) = client.whole.take() {
             take_front(&mut client.buffer, whole.end);
         }
@@ -304,9 +331,9 @@
     fn flush(&mut self, at: u32, now: Millis) {
         let Some(client) = self.all.get_mut(at) else { return };
         let before = client.bytes();
-        let pushed = wire::push(&mut client.socket, &mut client.out);
+        let pushed = client.out.push(&mut client.socket);
         if client.out.is_empty() {
-            tidy(&mut client.out);
+            tidy(&mut client.out.small);
         }
         self.bytes = self.bytes + client.bytes() - before;
         if pushed.is_err() {
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -120,8 +120,8 @@
     }
 
     /// A connection to a node is ready.
-    pub fn node_ready(&mut self, scheduler: &mut Scheduler, at: u32, writable: bool, scratch: &mut [u8]) {
-        match self.nodes.ready(at, writable, scratch, self.now) {
+    pub fn node_ready(&mut self, scheduler: &mut Scheduler, at: u32, ended: bool, scratch: &mut [u8]) {
+        match self.nodes.ready(at, ended, scratch, self.now) {
             Ready::Nothing => {}
             Ready::Came(came) => self.came.push_back(came),
             Ready::Good(good) => self.pass_on(&good),
@@ -133,8 +133,18 @@
     fn pass_on(&mut self, good: &Good) {
         let client = self.held.get_mut(good.came.bio.0).and_then(|h| h.client.take());
         if let Some(at) = client {
-            self.counts.ended += 1;
-            self.clients.answer(at, 200, self.nodes.body(good), 0, millis(self.now));
+            let now = millis(self.now);
+            // Clients that do not read their answers may have left no room for this one.
+            if !self.clients.has_room(self.nodes.body(good).len()) {
+                self.counts.failed += 1;
+                self.clients.answer(at, answer::FAILED, b"", 0, now);
+            } else {
+                self.counts.ended += 1;
+                match self.nodes.take_body(good) {
+                    Some((buffer, from, to)) => self.clients.hand_on(at, buffer, from, to, now),
+                    None => self.clients.answer(at, 200, self.nodes.body(good), 0, now),
+                }
+            }
         }
         self.nodes.done(good, self.now);
         self.came.push_back(good.came);
--- a/crates/platform-host/src/nodes.rs
+++ b/crates/platform-host/src/nodes.rs
@@ -1,5 +1,5 @@
 //! Connections to nodes: one submit at a time on each, kept and used again.
-use crate::{MESSAGE, tidy};
+use crate::{ANSWER, tidy};
 use mallowseam_conduct::parting;
 use mallowseam_http1::{AnswerHead, AnswerReader, Whole};
 use mallowseam_platform::answer::{self, Said};
@@ -13,6 +13,10 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
+/// Bodies up to this are copied, and both buffers kept for their next use; longer ones are handed on in theirs.
+const COPIED: usize = 2 * 1024;
+/// Read at once while an answer's length is not known: a usual answer whole.
+const FIRST: usize = 16 * 1024;
 /// Timers beyond four a connection before old ones are looked for.
 const TIMERS: usize = 1_024;
 
@@ -78,6 +82,9 @@
     registry: Registry,
     token: fn(u32) -> Token,
     most: usize,
+    /// Bytes of answers held, and the most of it.
+    bytes: usize,
+    bytes_most: usize,
     connect_within: Tick,
     idle_close: Tick,
     serial: u64,
@@ -104,6 +111,7 @@
         registry: Registry,
         token: fn(u32) -> Token,
         most: usize,
+        bytes_most: usize,
         connect_within: Tick,
         idle_close: Tick,
     ) -> Self {
@@ -113,6 +121,8 @@
             registry,
             token,
             most,
+            bytes: 0,
+            bytes_most,
             connect_within,
             idle_close,
             serial: 0,
@@ -125,6 +135,11 @@
         self.lines.len()
     }
 
+    /// Bytes of answers held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub fn node(&self, at: NodeId) -> Option<&Node> {
         self.all.get(at.0 as usize)?.as_ref()
     }
@@ -181,6 +196,7 @@
 
     fn close(&mut self, at: u32) -> Option<Carried> {
         let mut line = self.lines.take(at)?;
+        self.bytes -= line.buffer.capacity();
         let _ = self.registry.deregister(&mut line.socket);
         if let Some(node) = self.node_mut(line.node) {
             node.lines -= 1;
@@ -313,7 +329,8 @@
     }
 
     /// The poll has something of a connection.
-    pub fn ready(&mut self, place: u32, writable: bool, scratch: &mut [u8], now: Tick) -> Ready {
+    /// `ended`: the node has closed its side, which is told once.
+    pub fn ready(&mut self, place: u32, ended: bool, scratch: &mut [u8], now: Tick) -> Ready {
         let Some(line) = self.lines.get_mut(place) else { return Ready::Nothing };
         let node = line.node;
         let Some(carried) = line.carried else {
@@ -336,48 +353,77 @@
             }
             line.up = true;
         }
-        if (writable || line.sent < line.out.len())
+        if line.sent < line.out.len()
             && let Some(came) = self.push(place, Ending::NoConnect)
         {
             return Ready::Came(came);
         }
-        self.read(place, scratch, now, &came)
+        self.read(place, ended, scratch, now, &came)
     }
 
-    fn read(&mut self, place: u32, scratch: &mut [u8], now: Tick, came: &impl Fn(Ending) -> Came) -> Ready {
+    fn read(
+        &mut self,
+        place: u32,
+        ended: bool,
+        scratch: &mut [u8],
+        now: Tick,
+        came: &impl Fn(Ending) -> Came,
+    ) -> Ready {
         let Some(line) = self.lines.get_mut(place) else { return Ready::Nothing };
         let written = line.written();
         let cut_off = if written { Ending::Reset } else { Ending::NoConnect };
         loop {
-            let room = (MESSAGE.buffer() + 1 - line.buffer.len().min(MESSAGE.buffer())).min(scratch.len());
-            match wire::read(&mut line.socket, &mut scratch[..room]) {
+            let had = line.buffer.len();
+            let capacity = line.buffer.capacity();
+            // Of a long answer the rest is read straight to its place; what stands behind it shows on the next look.
+            let lacks = line.reader.lacks(had).filter(|l| *l > 0);
+            let room = lacks.unwrap_or(FIRST).min(ANSWER.buffer() + 1 - had.min(ANSWER.buffer()));
+            let room = room.min(scratch.len());
+            let tried = match lacks {
+                Some(lacks) => {
+                    line.buffer.reserve_exact(lacks);
+                    wire::read_onto(&mut line.socket, &mut line.buffer, room)
+                }
+                None => wire::read(&mut line.socket, &mut scratch[..room]),
+            };
+            if let (None, Tried::Read(count)) = (lacks, &tried) {
+                line.buffer.extend_from_slice(&scratch[..*count]);
+            }
+            self.bytes = self.bytes + line.buffer.capacity() - capacity;
+            let count = match tried {
                 Tried::Blocked => return Ready::Nothing,
                 Tried::Over(_) => {
                     self.close(place);
                     return Ready::Came(came(cut_off));
                 }
-                Tried::Read(count) => line.buffer.extend_from_slice(&scratch[..count]),
-            }
-            match line.reader.advance(&mut line.buffer, MESSAGE) {
+                Tried::Read(count) => count,
+            };
+            // Less than there was room for: nothing more has come, and what does is told anew.
+            let drained = count < room && !ended;
+            match line.reader.advance(&mut line.buffer, ANSWER) {
+                // All answers together have their bound: the one that passes it counts as spoilt.
+                Ok(None) if self.bytes > self.bytes_most => return self.spoilt(place, came),
+                Ok(None) if drained => return Ready::Nothing,
                 Ok(None) => {}
                 Ok(Some(whole)) => return self.answered(place, whole, now, came),
-                Err(_) => {
-                    let node = line.node;
-                    self.close(place);
-                    if let Some(node) = self.node_mut(node) {
-                        node.spoilt += 1;
-                    }
-                    // It may have run whatever the answer was meant to be.
-                    return Ready::Came(came(Ending::Error));
-                }
+                Err(_) => return self.spoilt(place, came),
             }
         }
     }
 
+    /// An answer that can't be read: its submit may have run, whatever the answer was meant to be.
+    fn spoilt(&mut self, place: u32, came: &impl Fn(Ending) -> Came) -> Ready {
+        let came = came(Ending::Error);
+        self.close(place);
+        if let Some(node) = self.node_mut(came.node) {
+            node.spoilt += 1;
+        }
+        Ready::Came(came)
+    }
+
     fn answered(&mut self, place: u32, whole: Whole, now: Tick, came: &impl Fn(Ending) -> Came) -> Ready {
         let Some(line) = self.lines.get(place) else { return Ready::Nothing };
-        let head =
-            AnswerHead::read(&line.buffer[whole.start..], MESSAGE).ok().flatten().expect("read before");
+        let head = AnswerHead::read(&line.buffer[whole.start..], ANSWER).ok().flatten().expect("read before");
         let said = answer::read(&head);
         let close = head.close || line.buffer.len() > whole.end || !line.written();
         let node = line.node;
@@ -400,6 +446,16 @@
         self.lines.get(good.at).map_or(&[], |l| &l.buffer[good.whole.body..good.whole.end])
     }
 
+    /// The buffer of a good answer whose body is long, to be handed on, and where the body stands in it.
+    pub fn take_body(&mut self, good: &Good) -> Option<(Vec<u8>, usize, usize)> {
+        let line = self.lines.get_mut(good.at)?;
+        if good.whole.end - good.whole.body <= COPIED {
+            return None;
+        }
+        self.bytes -= line.buffer.capacity();
+        Some((std::mem::take(&mut line.buffer), good.whole.body, good.whole.end))
+    }
+
     /// A good answer was passed on.
     pub fn done(&mut self, good: &Good, now: Tick) {
         self.rest(good.at, good.close, now);
@@ -415,7 +471,9 @@
         (line.carried, line.sent, line.idle_since) = (None, 0, now);
         line.reader = AnswerReader::default();
         tidy(&mut line.out);
+        self.bytes -= line.buffer.capacity();
         tidy(&mut line.buffer);
+        self.bytes += line.buffer.capacity();
         let node = line.node;
         match self.node_mut(node) {
             Some(node) => node.idle.push(place),
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -1,5 +1,4 @@
 //! The loop: one thread between clients, nodes, the list service and the scheduler.
-use crate::MESSAGE;
 use crate::clients::{Came, Clients};
 use crate::desk::Desk;
 use crate::discovery::{Call, Heard};
@@ -131,21 +130,28 @@
         let listening = failure(format!("listen {}", config.listen));
         let mut listener = TcpListener::bind(config.listen).map_err(listening)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(failure("poll"))?;
-        let parting = parting::part(config.sockets, config.memory_mb, MESSAGE.buffer());
+        let parting = parting::part(config.sockets, config.memory_mb);
         let clock = Clock::of_day();
         let now = clock.now();
         let mut named = config.named.clone();
         // On the platform the list is always asked for.
         named.terms.list_on_request = true;
         let clients = Clients::new(registry()?, client_token, parting.clients, parting.client_bytes);
-        let nodes =
-            Nodes::new(registry()?, line_token, parting.nodes, named.connect_within, named.idle_close);
+        let nodes = Nodes::new(
+            registry()?,
+            line_token,
+            parting.nodes,
+            parting.node_bytes,
+            named.connect_within,
+            named.idle_close,
+        );
         tracing::info!(
             host = config.name,
             listen = %config.listen,
             discovery = %config.discovery,
             clients = parting.clients,
             nodes = parting.nodes,
+            cores = config.cores,
             memory_mb = config.memory_mb,
             known = config.known.as_ref().map_or(0, |k| k.entries.len()),
             "host starts"
@@ -224,8 +230,8 @@
             if token >= CALLERS && !(token - CALLERS).is_multiple_of(2) {
                 self.tick();
                 let at = ((token - CALLERS) / 2) as u32;
-                let writable = event.is_writable();
-                self.desk.node_ready(&mut self.scheduler, at, writable, &mut self.scratch);
+                let ended = event.is_read_closed() || event.is_error();
+                self.desk.node_ready(&mut self.scheduler, at, ended, &mut self.scratch);
             }
         }
         for event in events {
@@ -411,7 +417,7 @@
             clients = clients.len(),
             silent = clients.doing(Doing::Silent),
             idle = clients.doing(Doing::Idle),
-            bytes = clients.bytes(),
+            bytes = clients.bytes() + desk.nodes.bytes(),
             counts = ?clients.counts,
             bios = ?desk.counts,
             in_hand = desk.in_hand(),
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -54,10 +54,10 @@
     }
 }
 
-/// An answer to a client. `come_back`: milliseconds after which it may try again; 0 names none.
-pub fn write(out: &mut Vec<u8>, status: u16, body: &[u8], come_back: u64, close: bool) {
+/// The head of an answer to a client. `come_back`: milliseconds after which it may try again; 0 names none.
+pub fn write(out: &mut Vec<u8>, status: u16, body: usize, come_back: u64, close: bool) {
     let said = "writing to memory";
-    write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len()).expect(said);
+    write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {body}\r\n", reason(status)).expect(said);
     if come_back > 0 {
         write!(out, "Retry-After: {}.{:03}\r\n", come_back / 1000, come_back % 1000).expect(said);
     }
@@ -65,7 +65,6 @@
         out.extend_from_slice(b"Connection: close\r\n");
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
 }
 
 /// The word for a client that waits to be told to send its body.
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
+    /// Part of a core; told in the log, nothing goes by it.
+    pub cores: f64,
     pub memory_mb: u64,
     pub sockets: u64,
     /// The list as this host last had it.
@@ -93,6 +95,7 @@
             listen: listen?,
             discovery: discovery?,
             seed: seed?,
+            cores: v["limits"]["cores"].as_f64().unwrap_or(0.0),
             memory_mb: memory_mb?,
             sockets: sockets?,
             known: known?,
