A crowd that says nothing, or asks once and stays, keeps no one out

Checked: the log's turned_off (over 900 a host within 3 s); a print of what filled the host then (since taken out): 252 connections idle for under 2 s, while taken stood still. They were GET /ready on new connections, 848 a host at each restart, which stay open; each held a place for 2 s.

--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -99,6 +99,10 @@
         self.bytes
     }
 
+    pub fn full(&self) -> bool {
+        self.all.len() >= self.most
+    }
+
     /// Whether so many bytes more can be held for clients.
     pub fn has_room(&self, bytes: usize) -> bool {
         self.bytes + bytes <= self.bytes_most
@@ -107,8 +111,10 @@
     /// A connection was accepted: it has a place, another gives way, or it is closed.
     pub fn enter(&mut self, mut socket: TcpStream, now: Millis) {
         self.counts.accepted += 1;
-        if self.all.len() >= self.most {
-            let Some(at) = front::gives_way(self.all.iter().map(|(at, c)| (at, &c.guest)), now) else {
+        if self.full() {
+            // One with something to read has not been looked at yet: it may just have sent its request.
+            let looked = self.all.iter().filter(|(_, c)| !c.queued && !c.readable);
+            let Some(at) = front::gives_way(looked.map(|(at, c)| (at, &c.guest)), now) else {
                 self.counts.turned_off += 1;
                 return;
             };
@@ -286,6 +292,14 @@
         self.answer_with(at, status, body.len(), come_back, now, |out| out.small.extend_from_slice(body));
     }
 
+    /// The same, and the last one on its connection.
+    pub fn last_answer(&mut self, at: u32, status: u16, body: &[u8], now: Millis) {
+        if let Some(client) = self.all.get_mut(at) {
+            client.last = true;
+        }
+        self.answer(at, status, body, 0, now);
+    }
+
     /// The same with a body that stands in a buffer, which is handed on.
     pub fn hand_on(&mut self, at: u32, buffer: Vec<u8>, from: usize, to: usize, now: Millis) {
         self.answer_with(at, 200, to - from, 0, now, |out| out.put(buffer, from, to));
@@ -319,12 +333,11 @@
     fn end(&mut self, at: u32, status: u16, words: &str, now: Millis) {
         if let Some(client) = self.all.get_mut(at) {
             client.whole = None;
-            client.last = true;
             self.bytes -= client.bytes();
             tidy(&mut client.buffer);
             self.bytes += client.bytes();
         }
-        self.answer(at, status, words.as_bytes(), 0, now);
+        self.last_answer(at, status, words.as_bytes(), now);
     }
 
     /// Writes what waits. All written, the connection is read on, or ends.
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -33,6 +33,7 @@
     pub failed: u64,
     pub left: u64,
     pub never_sent: u64,
+    pub asked_ready: u64,
 }
 
 pub struct Desk {
@@ -83,8 +84,12 @@
         let Some((head, body)) = self.clients.request(at) else { return };
         match request::read(&head, body.len(), &self.named) {
             Err(wrong) => self.clients.wrong(at, wrong.status(), wrong.words(), now),
-            Ok(Asked::Ready) if ready => self.clients.answer(at, 200, b"ready", 0, now),
-            Ok(Asked::Ready) => self.clients.answer(at, answer::SHED, b"no list yet", 0, now),
+            // Whoever asks this is no client yet, or not on this connection.
+            Ok(Asked::Ready) => {
+                self.counts.asked_ready += 1;
+                let (status, words) = if ready { (200, "ready") } else { (answer::SHED, "no list yet") };
+                self.clients.last_answer(at, status, words.as_bytes(), now);
+            }
             // Whoever has gone gets nothing done: no node works for it.
             Ok(Asked::Block(_)) if self.clients.left(at) => {
                 self.clients.answer(at, answer::SHED, b"", 0, now);
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -11,7 +11,7 @@
 use mallowseam_scheduler::host::{ListForm, NodeId, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_sockets::clock::{Clock, millis, span};
-use mio::net::{TcpListener, UnixStream};
+use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::io::{self, ErrorKind, Read};
 use std::path::{Path, PathBuf};
@@ -253,7 +253,13 @@
         if self.accepting {
             self.accept();
         }
-        for _ in 0..self.desk.clients.turns.len().min(ROUND) {
+        self.turns(ROUND);
+        self.finish();
+    }
+
+    /// Turns of clients' connections that may have something to read.
+    fn turns(&mut self, most: usize) {
+        for _ in 0..self.desk.clients.turns.len().min(most) {
             let Some(at) = self.desk.clients.turns.pop_front() else { break };
             self.tick();
             match self.desk.clients.turn(at, &mut self.scratch, millis(self.desk.now)) {
@@ -261,7 +267,6 @@
                 Came::Nothing => {}
             }
         }
-        self.finish();
     }
 
     /// What is due by time.
@@ -300,13 +305,13 @@
     }
 
     fn accept(&mut self) {
-        let Some(listener) = &self.listener else {
-            self.accepting = false;
-            return;
-        };
         for _ in 0..ROUND {
+            let Some(listener) = &self.listener else {
+                self.accepting = false;
+                return;
+            };
             match listener.accept() {
-                Ok((socket, _)) => self.desk.clients.enter(socket, millis(self.desk.now)),
+                Ok((socket, _)) => self.enter(socket),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.accepting = false;
                     return;
@@ -317,11 +322,20 @@
         }
     }
 
+    fn enter(&mut self, socket: TcpStream) {
+        // Where a crowd comes at once, each is looked at before the next is let in: only so it shows which of
+        // them have something to say.
+        if self.desk.clients.full() {
+            self.turns(usize::MAX);
+        }
+        self.desk.clients.enter(socket, millis(self.desk.now));
+    }
+
     /// The listener is closed once nothing waits at it.
     fn shut(&mut self) {
         if let Some(mut listener) = self.listener.take() {
             while let Ok((socket, _)) = listener.accept() {
-                self.desk.clients.enter(socket, millis(self.desk.now));
+                self.enter(socket);
             }
             let _ = self.registry.deregister(&mut listener);
         }
