After SIGTERM all goes on for 650 ms, then answers are the last and idle connections end

Change: STILL_COMES in conduct's front is 650 ms (500), and only then are answers marked as the last.

--- a/crates/conduct/src/front.rs
+++ b/crates/conduct/src/front.rs
@@ -21,8 +21,10 @@
 /// further one: a client that comes back as soon as it is turned away costs little.
 const WRONG_RESTS: Millis = 50;
 const WRONG_RESTS_MOST: Millis = 1_600;
-/// After SIGTERM clients still come for this long; then idle connections end, and no new ones are let in.
-const STILL_COMES: Millis = 500;
+/// After SIGTERM clients still come, and use what they have, while it stays open: all goes on for this long. Then
+/// answers are the last ones, idle connections end and no new ones are let in. The users' pages count what comes
+/// later than 0.7 s as the host's own loss should it stay unanswered.
+const STILL_COMES: Millis = 650;
 
 /// What a client's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,6 +149,11 @@
     now >= told + STILL_COMES && clients == 0
 }
 
+/// Whether an answer is the last on its connection because the host ends.
+pub fn last_answer(leaving: Option<Millis>, now: Millis) -> bool {
+    !lets_in(leaving, now)
+}
+
 /// Whether it still lets new connections in.
 pub fn lets_in(leaving: Option<Millis>, now: Millis) -> bool {
     leaving.is_none_or(|told| now < told + STILL_COMES)
@@ -238,9 +245,13 @@
     fn after_a_word_to_end_clients_still_come_for_a_while_and_then_idle_ones_end() {
         let told = Some(1_000);
         let idle = doing(Doing::Idle, 900);
-        assert!(lets_in(told, 1_499) && !lets_in(told, 1_500) && lets_in(None, 99_999));
+        assert!(!last_answer(told, 1_400) && last_answer(told, 1_700) && !last_answer(None, 1_700));
+        assert!(!ends(1_000, 9_000, 1));
+        assert!(
+            lets_in(told, 999 + STILL_COMES) && !lets_in(told, 1_000 + STILL_COMES) && lets_in(None, 99_999)
+        );
         assert_eq!(idle.care(1_400, told), Care::Nothing);
-        assert_eq!(idle.care(1_500, told), Care::Close);
-        assert!(!ends(1_000, 1_499, 0) && !ends(1_000, 9_000, 1) && ends(1_000, 1_500, 0));
+        assert_eq!(idle.care(1_000 + STILL_COMES, told), Care::Close);
+        assert!(!ends(1_000, 999 + STILL_COMES, 0) && ends(1_000, 1_000 + STILL_COMES, 0));
     }
 }
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -49,7 +49,7 @@
     /// Bytes held for all clients, and the most of it.
     bytes: usize,
     bytes_most: usize,
-    /// Answers are the last on their connections.
+    /// Since when the host is to end.
     pub leaving: Option<Millis>,
     /// Those with more to read or to look at.
     pub turns: VecDeque<u32>,
@@ -316,7 +316,8 @@
     ) {
         let Some(client) = self.all.get_mut(at) else { return };
         let before = client.bytes();
-        client.last |= self.leaving.is_some() || client.left || client.reader.closes();
+        let ends = front::last_answer(self.leaving, now);
+        client.last |= ends || client.left || client.reader.closes();
         answer::write(&mut client.out.small, status, body, come_back, client.last);
         put(&mut client.out);
         if let Some(whole) = client.whole.take() {
