One parse of heads, one pipe of signals for both hosts

Need: two pieces stood twice: what a parse of a head came to, for requests and answers, and the pipe of signals in gateway and in platform-host.

Change: parsed() in http1, signals::pipe in crates/sockets.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -571,12 +571,6 @@
 
 /// SIGTERM and SIGINT as bytes on a socket that the loop watches.
 pub(crate) fn signals(poll: &Poll, token: Token) -> io::Result<UnixStream> {
-    let (mine, theirs) = std::os::unix::net::UnixStream::pair()?;
-    mine.set_nonblocking(true)?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
-    }
-    let mut mine = UnixStream::from_std(mine);
-    poll.registry().register(&mut mine, token, Interest::READABLE)?;
-    Ok(mine)
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    mallowseam_sockets::signals::pipe(poll, token, &[SIGTERM, SIGINT])
 }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -88,6 +88,18 @@
     }
 }
 
+/// What a parse of a head's bytes, so many of them, came to: its length, or none while it is not whole.
+fn parsed(tried: httparse::Result<usize>, had: usize, bounds: Bounds) -> Result<Option<usize>, Fault> {
+    match tried {
+        Ok(Status::Complete(len)) => Ok(Some(len)),
+        Ok(Status::Partial) if had >= bounds.head => Err(Fault::HeadTooLarge),
+        Ok(Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Fault::HeadTooLarge),
+        Err(httparse::Error::Version) => Err(Fault::Unsupported),
+        Err(_) => Err(Fault::Malformed),
+    }
+}
+
 /// The head of a request.
 pub struct RequestHead<'b> {
     pub method: &'b str,
@@ -108,14 +120,7 @@
         let window = &bytes[..bytes.len().min(bounds.head)];
         let mut headers = Headers::none();
         let mut request = httparse::Request::new(&mut headers.all);
-        let len = match request.parse(window) {
-            Ok(Status::Complete(len)) => len,
-            Ok(Status::Partial) if bytes.len() >= bounds.head => return Err(Fault::HeadTooLarge),
-            Ok(Status::Partial) => return Ok(None),
-            Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
-            Err(httparse::Error::Version) => return Err(Fault::Unsupported),
-            Err(_) => return Err(Fault::Malformed),
-        };
+        let Some(len) = parsed(request.parse(window), bytes.len(), bounds)? else { return Ok(None) };
         let (Some(method), Some(target), Some(version)) = (request.method, request.path, request.version)
         else {
             return Err(Fault::Malformed);
@@ -154,14 +159,7 @@
         let window = &bytes[..bytes.len().min(bounds.head)];
         let mut headers = Headers::none();
         let mut answer = httparse::Response::new(&mut headers.all);
-        let len = match answer.parse(window) {
-            Ok(Status::Complete(len)) => len,
-            Ok(Status::Partial) if bytes.len() >= bounds.head => return Err(Fault::HeadTooLarge),
-            Ok(Status::Partial) => return Ok(None),
-            Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
-            Err(httparse::Error::Version) => return Err(Fault::Unsupported),
-            Err(_) => return Err(Fault::Malformed),
-        };
+        let Some(len) = parsed(answer.parse(window), bytes.len(), bounds)? else { return Ok(None) };
         let (Some(status), Some(version)) = (answer.code, answer.version) else {
             return Err(Fault::Malformed);
         };
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -11,6 +11,7 @@
 use mallowseam_scheduler::host::{ListForm, NodeId, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_sockets::clock::{Clock, Looks, millis, span};
+use mallowseam_sockets::signals;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::io::{self, ErrorKind, Read};
@@ -105,17 +106,6 @@
     Ok(())
 }
 
-fn signal(poll: &Poll, token: Token, signals: &[i32]) -> io::Result<UnixStream> {
-    let (mine, theirs) = std::os::unix::net::UnixStream::pair()?;
-    mine.set_nonblocking(true)?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
-    }
-    let mut mine = UnixStream::from_std(mine);
-    poll.registry().register(&mut mine, token, Interest::READABLE)?;
-    Ok(mine)
-}
-
 fn drain(socket: &mut UnixStream) -> bool {
     let mut any = false;
     let mut bytes = [0; 16];
@@ -129,8 +119,8 @@
     fn open(path: &Path, config: Config, poll: &Poll) -> Result<Self, Failure> {
         use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
         let registry = || poll.registry().try_clone().map_err(failure("poll"));
-        let hup = signal(poll, HUP, &[SIGHUP]).map_err(failure("signals"))?;
-        let term = signal(poll, TERM, &[SIGTERM, SIGINT]).map_err(failure("signals"))?;
+        let hup = signals::pipe(poll, HUP, &[SIGHUP]).map_err(failure("signals"))?;
+        let term = signals::pipe(poll, TERM, &[SIGTERM, SIGINT]).map_err(failure("signals"))?;
         let listening = failure(format!("listen {}", config.listen));
         let mut listener = TcpListener::bind(config.listen).map_err(listening)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(failure("poll"))?;
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! - `slots`: places by small index, used again once they are free.
 //! - `clock`: ticks of a tenth of a millisecond.
+//! - `signals`: signals as something to read.
 //! - `wire`: bytes between a socket and a buffer, without blocking.
 pub mod clock;
+pub mod signals;
 pub mod slots;
 pub mod wire;
