Read once more: one making of what came of a submit, no second try at a full socket

Found on reading the whole change: what came of a submit was put together in five places of nodes.rs (Carried::came now); cut() told whether it was written whole and nobody asked; Guest::rests was never called; gateway's write tried a socket once more after send() had found it full, a system call that was not there before send() was taken out of it. Behaviour is unchanged; no test was touched.

--- a/crates/conduct/src/front.rs
+++ b/crates/conduct/src/front.rs
@@ -97,11 +97,6 @@
         now >= self.rests && matches!(self.doing, Doing::Silent | Doing::Midway | Doing::Idle)
     }
 
-    /// Until when it rests, if it does.
-    pub fn rests(&self, now: Millis) -> bool {
-        now < self.rests
-    }
-
     /// So many bytes behind its end were read and dropped; whether that is enough.
     pub fn dropped(&mut self, bytes: usize) -> bool {
         self.dropped += bytes;
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -7,12 +7,13 @@
 pub fn write(socket: &mut impl Write, out: &mut Outgoing) -> Result<usize, String> {
     let mut all = 0;
     while !out.waiting().is_empty() {
+        let wanted = out.waiting().len();
         let sent = send(socket, out.waiting()).map_err(|(_, why)| why)?;
-        if sent == 0 {
-            break;
-        }
         out.wrote(sent);
         all += sent;
+        if sent < wanted {
+            break;
+        }
     }
     Ok(all)
 }
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -270,9 +270,7 @@
         let Some(held) = self.held.get_mut(bio.0).filter(|h| nth + 1 == h.submits) else { return };
         // Without a connection its outcome is on its way already.
         let cut = held.line.take().and_then(|line| self.nodes.cut(line));
-        if let Some((came, _)) = cut {
-            self.came.push_back(came);
-        }
+        self.came.extend(cut);
     }
 
     fn shed(&mut self, bio: BioId, come_back: Tick) {
--- a/crates/platform-host/src/nodes.rs
+++ b/crates/platform-host/src/nodes.rs
@@ -32,6 +32,13 @@
     serial: u64,
 }
 
+impl Carried {
+    /// What came of it at a node, as of now.
+    fn came(&self, node: NodeId, ending: Ending) -> Came {
+        Came { bio: self.bio, node, ending, since: self.since, until: None, said: None }
+    }
+}
+
 struct Line {
     socket: TcpStream,
     node: NodeId,
@@ -187,14 +194,7 @@
         for line in 0..self.lines.places() {
             let waits = self.lines.get(line).is_some_and(|l| l.node == at && !l.up);
             if waits && let Some(carried) = self.close(line) {
-                came(Came {
-                    bio: carried.bio,
-                    node: at,
-                    ending: Ending::Moot,
-                    since: carried.since,
-                    until: None,
-                    said: None,
-                });
+                came(carried.came(at, Ending::Moot));
             }
         }
     }
@@ -323,19 +323,16 @@
         self.close(place);
         // Before the last byte is written nothing has run; after it, it may have.
         let ending = if whole { Ending::Reset } else { broken };
-        Some(Came { bio: carried.bio, node, ending, since: carried.since, until: None, said: None })
+        Some(carried.came(node, ending))
     }
 
-    /// Ends the submit that a connection carries; whether it was written whole.
-    pub fn cut(&mut self, place: u32) -> Option<(Came, bool)> {
+    /// Ends the submit that a connection carries.
+    pub fn cut(&mut self, place: u32) -> Option<Came> {
         let line = self.lines.get(place)?;
         let (written, node) = (line.written(), line.node);
         let carried = self.close(place)?;
         let ending = if written { Ending::Cancelled } else { Ending::Moot };
-        Some((
-            Came { bio: carried.bio, node, ending, since: carried.since, until: None, said: None },
-            written,
-        ))
+        Some(carried.came(node, ending))
     }
 
     /// The poll has something of a connection.
@@ -353,7 +350,7 @@
             return Ready::Nothing;
         };
         let until = Some(heard.max(carried.since));
-        let came = |ending| Came { bio: carried.bio, node, ending, since: carried.since, until, said: None };
+        let came = |ending| Came { until, ..carried.came(node, ending) };
         if !line.up {
             let failed = line.socket.take_error().map_or(true, |e| e.is_some());
             if failed {
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,5 +1,6 @@
 //! The node list: whole lists, and the lines of a watch.
 use serde::Deserialize;
+use std::io::Write;
 use std::net::SocketAddr;
 
 /// Entries in one list, at most: far past any fleet, and within a host's memory.
@@ -67,7 +68,6 @@
 
 /// The call that opens a watch from a version on.
 pub fn watch(out: &mut Vec<u8>, host: SocketAddr, since: Option<u64>) {
-    use std::io::Write;
     let since = since.map_or(String::new(), |s| format!("&since={s}"));
     write!(out, "GET /v1/endpoints?follow=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n")
         .expect("writing to memory");
@@ -75,7 +75,6 @@
 
 /// The call for the whole list, once.
 pub fn fetch(out: &mut Vec<u8>, host: SocketAddr) {
-    use std::io::Write;
     write!(out, "GET /v1/endpoints HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")
         .expect("writing to memory");
 }
