Stories of giving up: the instant of giving up is the instant of the answer

Module: what no submit is left for is answered as the last one comes out, what no node can serve at once, what is held in hope at its goal, never near its hard limit; a time to come back is named where allowed. Sockets: the same through mallowseam host.

--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -132,6 +132,21 @@
     until("the attempt is given up by closing", || rig.nodes[0].closed() == 1);
 }
 
+#[test]
+fn what_is_given_up_is_answered_at_once_and_told_when_to_come_back() {
+    let rig = Rig::new(1);
+    let (mut lost, mut client) = (rig.client(), rig.client());
+    lost.send(&stand::write_text("lost", 7, "x", 9_000));
+    assert_eq!(lost.answer(), Some((503, String::new())), "no node holds its shard");
+    assert_eq!(lost.come_back, Some(0.1));
+    let start = Instant::now();
+    rig.nodes[0].next(Answer::Raw("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n".into()));
+    assert_eq!(client.write_within("w", 0, "x", 9_000).0, 500, "it may have run, and may not run again");
+    // Its goal is 300 ms, its hard limit 2 s, and its client waits for nine.
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    assert!(rig.nodes[0].seen().iter().all(|s| s.id == "w"));
+}
+
 #[test]
 fn bad_input_is_answered_or_closed_reaches_no_node_and_disturbs_no_one() {
     let rig = Rig::new(1);
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -45,6 +45,8 @@
     buffer: Vec<u8>,
     /// The last answer said that it is the last.
     pub closes: bool,
+    /// The time to come back that the last answer named, in seconds.
+    pub come_back: Option<f64>,
 }
 
 impl Client {
@@ -59,6 +61,8 @@
             if let Some(whole) = reader.advance(&mut self.buffer, BOUNDS).expect("the host speaks HTTP") {
                 let head = AnswerHead::read(&self.buffer, BOUNDS).expect("sound").expect("whole");
                 self.closes = head.close;
+                let named = head.headers.single("Retry-After").expect("once at most");
+                self.come_back = named.map(|n| n.parse().expect("seconds"));
                 let answer =
                     (head.status, String::from_utf8_lossy(&self.buffer[whole.body..whole.end]).into_owned());
                 self.buffer.drain(..whole.end);
@@ -318,7 +322,7 @@
     {"name": "book", "aim_us": 300000, "deadline_us": 2000000, "repeat": "at_most_once", "worth": 3.0}],
   "service_levels": [{"name": "gold", "floor_rate": 900.0, "usual_rate": 900.0, "weight": 1.0, "worth_factor": 1.0}],
   "extra": {"class_writes": [false, true], "largest": 8, "mean_units": 1.0, "within_share": 0.5, "spare_worth": 0.1},
-  "limits": {"cancel": true, "max_attempts": 3, "idle_close_us": 30000000, "connect_timeout_us": 250000},
+  "limits": {"cancel": true, "max_attempts": 3, "retry_after": true, "max_retry_after_us": 1000000, "idle_close_us": 30000000, "connect_timeout_us": 250000},
   "rules": {"drain_grace_us": 250000, "ask_within_us": 10000000}}"#;
 
 pub struct Rig {
@@ -362,7 +366,7 @@
     let socket = TcpStream::connect(at).ok()?;
     socket.set_read_timeout(Some(PATIENCE)).expect("a time");
     socket.set_nodelay(true).expect("no delay");
-    Some(Client { socket, buffer: Vec::new(), closes: false })
+    Some(Client { socket, buffer: Vec::new(), closes: false, come_back: None })
 }
 
 fn is_ready(at: SocketAddr) -> bool {
--- a/crates/scheduler/tests/fake/mod.rs
+++ b/crates/scheduler/tests/fake/mod.rs
@@ -17,6 +17,8 @@
 pub struct Log {
     pub now: Tick,
     pub did: Vec<(Tick, Did)>,
+    /// The times to come back that were named.
+    pub come_back: Vec<Tick>,
     wakes: Vec<Tick>,
 }
 
@@ -33,8 +35,9 @@
     fn cancel(&mut self, bio: BioId, _nth: u32) {
         self.note(Did::Cancelled(bio.0));
     }
-    fn shed(&mut self, bio: BioId, _come_back: Tick) {
+    fn shed(&mut self, bio: BioId, come_back: Tick) {
         self.note(Did::Shed(bio.0));
+        self.come_back.extend(Some(come_back).filter(|c| *c > 0));
     }
     fn fail(&mut self, bio: BioId) {
         self.note(Did::Failed(bio.0));
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -614,3 +614,50 @@
     s.pass(150);
     assert_eq!(s.count(Did::Shed(9)), 1);
 }
+
+/// When the block I/O of this number got its final answer.
+fn told(s: &Story, id: u32) -> Vec<Tick> {
+    s.log.did.iter().filter(|d| [Did::Shed(id), Did::Failed(id)].contains(&d.1)).map(|d| d.0).collect()
+}
+
+#[test_case(0, Ending::Busy; "turned away by the node")]
+#[test_case(0, Ending::Reset; "cut off")]
+#[test_case(1, Ending::TimedOut; "a side effect that may have run")]
+fn what_has_no_submit_left_is_answered_as_the_last_one_comes_out(group: u16, ending: Ending) {
+    let mut t = Terms { max_submits: 1, may_name_return: true, longest_return: 5_000, ..terms() };
+    t.groups[0].goal = LIMIT;
+    let mut s = Story::new(&t);
+    s.take(Bio { group, ..s.bio(0) });
+    s.pass(700);
+    let now = s.log.now;
+    s.end(0, 0, ending, 700);
+    assert_eq!(told(&s, 0), [now], "not held back while its client might ask again");
+    let shed = group == 0;
+    assert_eq!(s.log.come_back, if shed { vec![1_000] } else { vec![] }, "a time to come back is named");
+}
+
+#[test]
+fn what_cannot_be_served_is_answered_in_the_instant_that_says_so() {
+    let mut s = Story::new(&terms());
+    let start = s.log.now;
+    s.take(Bio { shard: Some(9), ..s.bio(0) });
+    s.take(Bio { hard_limit: start + 50, ..s.bio(1) });
+    assert_eq!((told(&s, 0), told(&s, 1)), (vec![start], vec![start]), "no node holds it; no time is left");
+    (2..9).for_each(|id| s.take(s.bio(id)));
+    let held: Vec<u32> = (2..9).filter(|id| !s.sent().contains(id)).collect();
+    s.pass(900);
+    s.list(ListForm::Changes, &[node(0, NodeState::Left, 0)]);
+    assert!(!held.is_empty());
+    assert!(held.iter().all(|id| told(&s, *id) == [start + 900]), "its node has left the list");
+}
+
+#[test]
+fn what_is_held_in_hope_is_answered_at_its_goal_and_not_near_its_hard_limit() {
+    let mut s = Story::new(&terms());
+    let start = s.log.now;
+    (0..9).for_each(|id| s.take(s.bio(id)));
+    let held: Vec<u32> = (0..9).filter(|id| !s.sent().contains(id)).collect();
+    s.pass(LIMIT);
+    assert!(!held.is_empty());
+    assert!(held.iter().all(|id| told(&s, *id) == [start + GOAL]));
+}
