The iSCSI host's first wake-up, too, comes ahead of all else at its start

The same lines as in the platform host (gateway/src/run.rs, start(): scheduler.woken with a clock read anew, past the desk, behind what the kept list had made the scheduler ask for), and the same end: a host that wakes no more. Found by looking for the twin of the cause, not seen in service. It needs the first call to the node list to fall due within the start.

No story of its own: the gap is there only with a node list service and a start of over 0.1 ms, which no test here makes happen each time.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -202,8 +202,12 @@
     }
 
     fn start(&mut self) {
-        self.desk.now = self.clock.now();
-        self.list.start(self.desk.now);
+        let now = self.clock.now();
+        self.desk.now = now;
+        // The first wake-up: the scheduler asks for the list and its windows from here on. It comes ahead of all
+        // else: past a wake-up that is set already, it would take that for this one and wait for another in vain.
+        self.scheduler.woken(&mut self.desk, now);
+        self.list.start(now);
         self.hear_list();
         // Plans that were kept count until the service says otherwise.
         let kept = self.follow.as_ref().map(|f| f.member.state()).filter(|s| s.version > 0);
@@ -212,8 +216,6 @@
             Some(Err(why)) => tracing::warn!(why, "kept plans are not used"),
             None => {}
         }
-        // The first wake-up: the scheduler asks for the list and its windows from here on.
-        self.scheduler.woken(&mut self.desk, self.clock.now());
         self.round();
     }
 
