A story for the iSCSI host's start: every command held at a silent node is answered

First try of the story failed to tell the two texts apart: it waited for one answer only, and a silent connection's own timer gives that.

--- a/crates/lab/tests/host.rs
+++ b/crates/lab/tests/host.rs
@@ -36,6 +36,11 @@
 impl Rig {
     /// Two nodes, each with half of every volume; work of a unit in microseconds.
     fn new(work: f64) -> Rig {
+        Rig::with(work, |_, conf| conf)
+    }
+
+    /// The same with another configuration, made of the usual one; the path is the rig's directory.
+    fn with(work: f64, change: impl Fn(&std::path::Path, String) -> String) -> Rig {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let (pid, run) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address =
@@ -62,7 +67,7 @@
             address(1),
             address(2)
         );
-        std::fs::write(dir.path().join("conf"), text).expect("a file");
+        std::fs::write(dir.path().join("conf"), change(dir.path(), text)).expect("a file");
         let host = start(&dir);
         Rig { at: address(0), host, nodes: vec![node(0), node(1)], dir }
     }
@@ -211,6 +216,32 @@
     assert_eq!(status.nodes[0].submits, 2, "the post was sent once");
 }
 
+#[test]
+fn a_host_whose_first_wake_up_falls_into_its_start_goes_on_waking() {
+    // By this seed the first wake-up is due at once, and to read so long a kept list takes far longer.
+    let rig = Rig::with(10.0, |dir, conf| {
+        let names = (0..2).map(|n| format!("node{n}")).chain((0..4_000).map(|n| format!("other{n}")));
+        let lines: String = names.map(|name| format!("node {name} active 0 10\n")).collect();
+        let kept = dir.join("kept");
+        std::fs::write(&kept, format!("kept 4002\n{lines}end\n")).expect("a file");
+        let service = format!("node-list 127.0.0.1:9\n  kept-list \"{}\"", kept.display());
+        conf.replace("node-list static", &service).replace("seed 1\n", "seed 3879\n")
+    });
+    rig.nodes[0].fault(Fault::Silent(true));
+    let mut client = rig.client(1);
+    for id in 1..40 {
+        client.conn.command(id, 0, &scsi::rw16(false, 0, 8, 0), 4096, vec![].into());
+    }
+    client.flush().expect("sent");
+    let began = Instant::now();
+    // What is held for the silent node is given up at its goal of 1 s, by a wake-up and by nothing else.
+    for _ in 1..40 {
+        let Ok(Came::Answer { status: code, .. }) = client.came() else { panic!("an answer") };
+        assert_ne!(code, status::GOOD);
+    }
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
 #[test]
 fn a_read_moves_on_when_its_connection_resets() {
     let rig = Rig::new(100_000.0);
