--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -295,6 +295,17 @@
         }
     }
 
+    /// The time that the scheduler asked for has come. Nothing else wakes it: it names each time once, and would take
+    /// a call past the time that is set here for that one, and wait for the next in vain.
+    pub fn woken(&mut self, scheduler: &mut Scheduler) {
+        if self.wake_at.is_some_and(|at| at <= self.now) {
+            self.wake_at = None;
+            let now = self.now;
+            scheduler.woken(self, now);
+            self.settle(scheduler);
+        }
+    }
+
     /// Tells the scheduler what has come of its submits, until nothing is left to tell.
     pub fn settle(&mut self, scheduler: &mut Scheduler) {
         let now = self.now;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,7 +13,7 @@
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::target::TargetTerms;
 use mallowseam_plans::Units;
-use mallowseam_scheduler::host::{NodeId, NodeState, Tick, VolId};
+use mallowseam_scheduler::host::{Host, NodeId, NodeState, Tick, VolId};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_settings::{Site, change};
 use mio::net::{TcpListener, UnixStream};
@@ -202,12 +202,12 @@
     }
 
     fn start(&mut self) {
-        let now = self.clock.now();
-        self.desk.now = now;
-        // The first wake-up: the scheduler asks for the list and its windows from here on. It comes ahead of all
-        // else: past a wake-up that is set already, it would take that for this one and wait for another in vain.
-        self.scheduler.woken(&mut self.desk, now);
-        self.list.start(now);
+        self.desk.now = self.clock.now();
+        // The first wake-up, ahead of all that makes the scheduler ask for one: it asks for the list and its windows
+        // from here on.
+        self.desk.wake(0);
+        self.desk.woken(&mut self.scheduler);
+        self.list.start(self.desk.now);
         self.hear_list();
         // Plans that were kept count until the service says otherwise.
         let kept = self.follow.as_ref().map(|f| f.member.state()).filter(|s| s.version > 0);
@@ -340,12 +340,7 @@
         self.desk.now = self.clock.now();
         self.desk.run_timers();
         self.desk.settle(&mut self.scheduler);
-        if self.desk.wake_at.is_some_and(|at| at <= self.desk.now) {
-            self.desk.wake_at = None;
-            let now = self.desk.now;
-            self.scheduler.woken(&mut self.desk, now);
-            self.desk.settle(&mut self.scheduler);
-        }
+        self.desk.woken(&mut self.scheduler);
         if std::mem::take(&mut self.desk.wants_list) {
             self.list.watch(self.desk.now);
             self.hear_list();
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -219,7 +219,8 @@
         self.settle(scheduler);
     }
 
-    /// The time that the scheduler asked for has come.
+    /// The time that the scheduler asked for has come. Nothing else wakes it: it names each time once, and would take
+    /// a call past the time that is set here for that one, and wait for the next in vain.
     pub fn woken(&mut self, scheduler: &mut Scheduler) {
         if self.wake_at.is_some_and(|at| at <= self.now) {
             self.wake_at = None;
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -8,7 +8,7 @@
 use mallowseam_conduct::parting::{self, Keep};
 use mallowseam_platform::config::{self, Config};
 use mallowseam_platform::list::News;
-use mallowseam_scheduler::host::{ListForm, NodeId, Tick};
+use mallowseam_scheduler::host::{Host, ListForm, NodeId, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_sockets::clock::{Clock, Looks, millis, span};
 use mallowseam_sockets::signals;
@@ -179,10 +179,10 @@
 
     fn start(&mut self) {
         self.tick();
-        // The first wake-up: the scheduler asks for the list and its windows from here on. It comes ahead of all
-        // else: past a wake-up that is set already, it would take that for this one and wait for another in vain.
-        let now = self.desk.now;
-        self.scheduler.woken(&mut self.desk, now);
+        // The first wake-up, ahead of all that makes the scheduler ask for one: it asks for the list and its windows
+        // from here on.
+        self.desk.wake(0);
+        self.desk.woken(&mut self.scheduler);
         if let Some(known) = self.config.known.take() {
             self.told = !known.entries.is_empty();
             self.seq = Some(known.seq);
