A rig for many processes of the program, with faults on the links between them

What: crates/lab/src/fleet. Hosts are processes with an address, configuration, log and descriptor limit each, killed, stopped, continued, told to end and started anew by id, ended with the stage. Every party is reached by each host at an address kept for that host, so each direction of each way has a fault of its own: delay and spread, silence (open connections stay open, new ones never come up), refused, bytes a second, cut after n bytes, one way alone, by party, range or zone. On one mio loop: a list service that handles calls in turn, nodes that charge for connections and fall over when cold, clients that come again. An audit from what passed on the sockets, a doctored record for each rule, a time line, and scripts in the language of script.rs.

--- /dev/null
+++ b/crates/lab/src/fleet/world.rs
@@ -0,0 +1,1055 @@
+//! The parties round the hosts on one loop: list services, nodes and clients, every connection behind a way with
+//! faults of its own. Whoever plays it drives it turn by turn.
+use super::callers::{Callers, Op};
+use super::links::{Fault, Links, Opening, Out, Party, Pipe, Side};
+use super::record::{Seen, What};
+use super::scene::{Known, Scene};
+use super::store::{Got, Job, Store};
+use super::turns::{Handled, Mood, Turns};
+use crate::audit::SLACK;
+use crate::trace::Micros;
+use mallowseam_http1::{AnswerHead, AnswerReader, Bounds, RequestHead, RequestReader};
+use mallowseam_sockets::slots::Slots;
+use mallowseam_sockets::wire::{self, Tried};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::fmt::Write;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 1 << 20 };
+const EVENTS: usize = 1_024;
+const SCRATCH: usize = 64 * 1024;
+/// Connections accepted in one turn of a listener.
+const ACCEPTS: usize = 64;
+const BACKLOG: i32 = 1_024;
+/// A watch with nothing to tell says so this often.
+const SIGN: Micros = 2_000_000;
+/// Pause between two questions whether a host is ready.
+const ASKS_READY: Micros = 20_000;
+/// A question to a host, and a client's connection, are given up after this.
+const PATIENCE: Micros = 2_000_000;
+/// Changes that the service still knows one by one; before them it tells the whole list.
+const REMEMBERS: usize = 256;
+/// Idle connections that clients keep to one host.
+const KEPT: usize = 32;
+const PORT_HOST: u16 = 8443;
+const PORT_CLAIM: u16 = 1899;
+const PORT_LIST: u16 = 1900;
+const PORT_NODE: u16 = 2000;
+
+/// Loopback addresses of a run's own: every host has its own, at which it listens; every other party is reached by
+/// it at an address kept for it alone, which tells the ways apart.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses(u8);
+
+/// Kept while a run lasts: no other on this machine takes its addresses.
+struct Claim {
+    _held: std::net::TcpListener,
+}
+
+impl Addresses {
+    fn of(self, host: u32, port: u16) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::new(127, self.0, (1 + host / 250) as u8, (1 + host % 250) as u8), port))
+    }
+
+    pub fn host(self, host: u32) -> SocketAddr {
+        self.of(host, PORT_HOST)
+    }
+
+    pub fn list(self, host: u32, list: u32) -> SocketAddr {
+        self.of(host, PORT_LIST + list as u16)
+    }
+
+    pub fn node(self, host: u32, node: u32) -> SocketAddr {
+        self.of(host, PORT_NODE + node as u16)
+    }
+}
+
+/// Where a host's connections to a party come in, and how that way stands.
+struct Door {
+    host: u32,
+    party: Party,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    opening: Opening,
+    /// Fills the way's queue while it is silent, so that nothing more comes up.
+    plug: Vec<std::net::TcpStream>,
+}
+
+/// What a connection carries.
+enum Carries {
+    /// From a host to a list service.
+    Call { list: u32, reader: RequestReader, watches: bool, asked: bool },
+    /// From a host to a node.
+    Line { node: u32, reader: RequestReader, open: Option<(u64, u32)>, fresh: bool },
+    /// From clients to a host.
+    Client { reader: AnswerReader, asked: Option<Op> },
+    /// A question whether a host is ready.
+    Ready { reader: AnswerReader },
+}
+
+struct Conn {
+    host: u32,
+    socket: TcpStream,
+    carries: Carries,
+    serial: u64,
+    /// From the host to the party, and back.
+    inward: Pipe,
+    outward: Pipe,
+    /// What the party has received and not used, and what its socket has still to take.
+    buffer: Vec<u8>,
+    out: Vec<u8>,
+    blocked: bool,
+}
+
+/// A node as the list service knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub shard: u32,
+    pub ready: Option<bool>,
+    pub born: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Pump(u32, u64),
+    Over(u32, u64),
+    Again(usize),
+    AskReady(u32),
+    Sign,
+    /// News that the service tells now.
+    News,
+}
+
+/// A call's connection.
+type CallId = (u32, u64);
+
+pub struct World {
+    poll: Poll,
+    scene: Scene,
+    pub addresses: Addresses,
+    _claim: Claim,
+    start: Instant,
+    unix_ms: i64,
+    doors: Vec<Door>,
+    conns: Slots<Conn>,
+    serial: u64,
+    links: Links,
+    due: BinaryHeap<Reverse<(Micros, Due)>>,
+    pub turns: [Turns<CallId>; 2],
+    listed: Vec<Listed>,
+    /// What the list service will come to know, and when.
+    news: VecDeque<(Micros, u32, Listed)>,
+    history: VecDeque<(u64, u32)>,
+    seq: u64,
+    pub stores: Vec<Store<CallId>>,
+    pub callers: Callers,
+    asking: bool,
+    again: Slots<Op>,
+    ready: Vec<Option<bool>>,
+    idle: BTreeMap<u32, Vec<u32>>,
+    ways: BTreeMap<u64, u32>,
+    pub seen: Vec<Seen>,
+    rng: Pcg64Mcg,
+    scratch: Vec<u8>,
+}
+
+fn failed(what: impl std::fmt::Display) -> impl FnOnce(io::Error) -> String {
+    move |e| format!("{what}: {e}")
+}
+
+impl World {
+    pub fn open(scene: &Scene, seed: u64) -> Result<World, String> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let poll = Poll::new().map_err(failed("poll"))?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let turns = || Turns::new(scene.takes, scene.patience);
+        let shards = scene.nodes;
+        let (addresses, claim) = claim()?;
+        let mut world = World {
+            addresses,
+            _claim: claim,
+            start: Instant::now(),
+            unix_ms: unix.as_millis() as i64,
+            doors: Vec::new(),
+            conns: Slots::default(),
+            serial: 0,
+            links: Links::new(scene.zones),
+            due: BinaryHeap::new(),
+            turns: [turns(), turns()],
+            listed: Vec::new(),
+            news: VecDeque::new(),
+            history: VecDeque::new(),
+            seq: 40,
+            stores: Vec::new(),
+            callers: Callers::new(scene.wants.clone(), scene.hosts, shards, &mut rng),
+            asking: false,
+            again: Slots::default(),
+            ready: vec![None; scene.hosts as usize],
+            idle: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            seen: Vec::new(),
+            rng,
+            scratch: vec![0; SCRATCH],
+            scene: scene.clone(),
+            poll,
+        };
+        for host in 0..scene.hosts {
+            for list in 0..2 {
+                world.door(host, Party::List(list), world.addresses.list(host, list))?;
+            }
+        }
+        for shard in 0..shards {
+            world.add_node(shard, scene.cold_nodes)?;
+        }
+        world.due.push(Reverse((SIGN, Due::Sign)));
+        Ok(world)
+    }
+
+    pub fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    fn note(&mut self, what: What) {
+        let at = self.now();
+        self.seen.push(Seen { at, what });
+    }
+
+    fn door(&mut self, host: u32, party: Party, address: SocketAddr) -> Result<(), String> {
+        let mut listener = TcpListener::bind(address).map_err(failed(address))?;
+        let token = Token(2 * self.doors.len());
+        self.poll.registry().register(&mut listener, token, Interest::READABLE).map_err(failed("poll"))?;
+        let (listener, plug) = (Some(listener), Vec::new());
+        self.doors.push(Door { host, party, address, listener, opening: Opening::Up, plug });
+        Ok(())
+    }
+
+    /// A node for a shard; its number. `cold`: it starts now.
+    pub fn add_node(&mut self, shard: u32, cold: bool) -> Result<u32, String> {
+        let node = self.stores.len() as u32;
+        let now = self.now();
+        let mut store = Store::new(self.scene.model.clone(), self.scene.manners);
+        let born = if cold { now.max(1) } else { 0 };
+        if cold {
+            store.start(now);
+            self.note(What::NodeUp { node });
+        }
+        self.stores.push(store);
+        for host in 0..self.scene.hosts {
+            self.door(host, Party::Node(node), self.addresses.node(host, node))?;
+        }
+        let entry = Listed { shard, ready: Some(true), born };
+        match now < 100_000 || self.stores.len() <= self.scene.nodes as usize {
+            // What stands at the beginning is known to the service.
+            true => self.listed.push(entry),
+            false => {
+                self.listed.push(Listed { ready: None, ..entry });
+                self.learns(node, entry);
+            }
+        }
+        Ok(node)
+    }
+
+    pub fn listed(&self, node: u32) -> Listed {
+        self.listed[node as usize]
+    }
+
+    pub fn nodes(&self) -> u32 {
+        self.stores.len() as u32
+    }
+
+    /// The list service will know this of a node, once its lag is over.
+    pub fn learns(&mut self, node: u32, entry: Listed) {
+        let at = self.now() + self.scene.lag;
+        self.news.push_back((at, node, entry));
+        self.due.push(Reverse((at, Due::News)));
+    }
+
+    /// A node's process is gone.
+    pub fn stop_node(&mut self, node: u32) {
+        self.stores[node as usize].stop();
+        self.cut_lines(node);
+        self.note(What::NodeDown { node });
+        let entry = self.listed[node as usize];
+        self.learns(node, Listed { ready: None, ..entry });
+        self.set_doors();
+    }
+
+    /// It starts anew, cold.
+    pub fn start_node(&mut self, node: u32) {
+        let now = self.now();
+        self.stores[node as usize].start(now);
+        self.note(What::NodeUp { node });
+        let entry = self.listed[node as usize];
+        self.learns(node, Listed { ready: Some(true), born: now, ..entry });
+        self.set_doors();
+    }
+
+    fn cut_lines(&mut self, node: u32) {
+        let of = |c: &Conn| matches!(c.carries, Carries::Line { node: n, .. } if n == node);
+        let lines: Vec<u32> = self.conns.iter().filter(|(_, c)| of(c)).map(|(at, _)| at).collect();
+        lines.into_iter().for_each(|at| self.close(at, true));
+        self.stores[node as usize].lines = 0;
+    }
+
+    pub fn link(&mut self, from: Side, to: Side, fault: Fault) {
+        self.links.set(from, to, fault);
+        self.set_doors();
+        // What was held goes on.
+        let now = self.now();
+        for at in self.conns.indices() {
+            let serial = self.conns.get(at).map_or(0, |c| c.serial);
+            self.due.push(Reverse((now, Due::Pump(at, serial))));
+        }
+        // Whatever is asked over a way at fault is not held against a host.
+        let excused: Vec<u64> =
+            self.ways.iter().filter(|(_, h)| self.way_at_fault(**h)).map(|(op, _)| *op).collect();
+        excused.into_iter().for_each(|op| self.note(What::Excused { op }));
+    }
+
+    fn way_at_fault(&self, host: u32) -> bool {
+        let (there, back) = (
+            self.links.of(Party::Clients, Party::Host(host)),
+            self.links.of(Party::Host(host), Party::Clients),
+        );
+        there != Fault::default() || back != Fault::default()
+    }
+
+    pub fn list_turns(&mut self, list: usize, mood: Mood) {
+        let now = self.now();
+        self.turns[list].turns(now, mood);
+        if mood == Mood::Down {
+            let of = |c: &Conn| matches!(c.carries, Carries::Call { list: l, .. } if l as usize == list);
+            let calls: Vec<u32> = self.conns.iter().filter(|(_, c)| of(c)).map(|(at, _)| at).collect();
+            calls.into_iter().for_each(|at| self.close(at, true));
+        }
+        self.set_doors();
+    }
+
+    fn opening(&self, door: &Door) -> Opening {
+        let by_link = self.links.opening(Party::Host(door.host), door.party);
+        let down = match door.party {
+            Party::Node(n) => !self.stores[n as usize].up(self.now()),
+            Party::List(n) => self.turns[n as usize].mood == Mood::Down,
+            _ => false,
+        };
+        if by_link == Opening::Up && down { Opening::Refused } else { by_link }
+    }
+
+    /// Opens and closes doors as ways and parties stand now.
+    fn set_doors(&mut self) {
+        for at in 0..self.doors.len() {
+            let opening = self.opening(&self.doors[at]);
+            let door = &mut self.doors[at];
+            if opening == door.opening {
+                continue;
+            }
+            door.opening = opening;
+            door.plug.clear();
+            match opening {
+                Opening::Refused => door.listener = None,
+                Opening::Up | Opening::Silent => {
+                    let mut listener = match door.listener.take() {
+                        Some(listener) => listener,
+                        None => {
+                            let Ok(mut l) = TcpListener::bind(door.address) else { continue };
+                            let interest = Interest::READABLE;
+                            let _ = self.poll.registry().register(&mut l, Token(2 * at), interest);
+                            l
+                        }
+                    };
+                    if opening == Opening::Silent {
+                        // One connection that nobody accepts fills a queue of none: later ones get no answer.
+                        let _ = SockRef::from(&listener).listen(0);
+                        while let Ok((socket, _)) = listener.accept() {
+                            drop(socket);
+                        }
+                        door.plug.extend(std::net::TcpStream::connect(door.address).ok());
+                    } else {
+                        let _ = SockRef::from(&listener).listen(BACKLOG);
+                        let interest = Interest::READABLE;
+                        let _ = self.poll.registry().reregister(&mut listener, Token(2 * at), interest);
+                    }
+                    door.listener = Some(listener);
+                }
+            }
+        }
+    }
+
+    // Hosts.
+
+    /// A host's process was started: it is asked until it is ready.
+    pub fn host_up(&mut self, host: u32) {
+        self.note(What::HostUp { host });
+        self.ready[host as usize] = Some(false);
+        let at = self.now() + ASKS_READY;
+        self.due.push(Reverse((at, Due::AskReady(host))));
+    }
+
+    /// Clients use it no more.
+    pub fn host_down(&mut self, host: u32) {
+        self.ready[host as usize] = None;
+        self.idle.remove(&host);
+    }
+
+    pub fn is_ready(&self, host: u32) -> bool {
+        self.ready[host as usize] == Some(true)
+    }
+
+    fn ask_ready(&mut self, host: u32) {
+        if self.ready[host as usize] != Some(false) {
+            return;
+        }
+        let again = self.now() + ASKS_READY;
+        let text = b"GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n";
+        let asked = self.dial(host, Carries::Ready { reader: AnswerReader::default() });
+        match asked {
+            Some(at) => {
+                self.say(at, text);
+                self.over_at(at, PATIENCE);
+            }
+            None => self.due.push(Reverse((again, Due::AskReady(host)))),
+        }
+    }
+
+    fn over_at(&mut self, at: u32, after: Micros) {
+        let serial = self.conns.get(at).map_or(0, |c| c.serial);
+        self.due.push(Reverse((self.now() + after, Due::Over(at, serial))));
+    }
+
+    /// A connection to a host, if the way lets one come up.
+    fn dial(&mut self, host: u32, carries: Carries) -> Option<u32> {
+        if self.links.opening(Party::Clients, Party::Host(host)) != Opening::Up {
+            return None;
+        }
+        // On loopback a listener's queue answers at once; a socket that is over shows itself in the loop.
+        let socket = std::net::TcpStream::connect(self.addresses.host(host)).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        let _ = socket.set_nodelay(true);
+        Some(self.enter(host, TcpStream::from_std(socket), carries))
+    }
+
+    fn enter(&mut self, host: u32, mut socket: TcpStream, carries: Carries) -> u32 {
+        self.serial += 1;
+        let token = Token(2 * self.conns.next() as usize + 1);
+        let _ = self.poll.registry().register(&mut socket, token, Interest::READABLE | Interest::WRITABLE);
+        self.conns.put(Conn {
+            host,
+            socket,
+            carries,
+            serial: self.serial,
+            inward: Pipe::default(),
+            outward: Pipe::default(),
+            buffer: Vec::new(),
+            out: Vec::new(),
+            blocked: false,
+        })
+    }
+
+    fn ways_of(&self, conn: &Conn) -> (Fault, Fault) {
+        let host = Party::Host(conn.host);
+        let party = match conn.carries {
+            Carries::Call { list, .. } => Party::List(list),
+            Carries::Line { node, .. } => Party::Node(node),
+            _ => Party::Clients,
+        };
+        (self.links.of(host, party), self.links.of(party, host))
+    }
+
+    /// A party sends to a host.
+    fn say(&mut self, at: u32, bytes: &[u8]) {
+        let Some(conn) = self.conns.get(at) else { return };
+        let fault = self.ways_of(conn).1;
+        let now = self.now();
+        let rng = &mut self.rng;
+        if let Some(conn) = self.conns.get_mut(at) {
+            conn.outward.push(now, bytes, &fault, rng);
+        }
+        self.pump(at);
+    }
+
+    /// Moves what has come through both directions of a connection.
+    fn pump(&mut self, at: u32) {
+        loop {
+            let now = self.now();
+            let Some(conn) = self.conns.get(at) else { return };
+            let serial = conn.serial;
+            let (inward, outward) = self.ways_of(conn);
+            let Some(conn) = self.conns.get_mut(at) else { return };
+            let mut moved = true;
+            match conn.outward.take(now, &outward) {
+                Out::Bytes(bytes) => conn.out.extend_from_slice(&bytes),
+                Out::Reset => return self.close(at, true),
+                Out::End | Out::Nothing => moved = false,
+            }
+            if wire::push(&mut conn.socket, &mut conn.out).is_err() {
+                return self.lost(at);
+            }
+            match conn.inward.take(now, &inward) {
+                Out::Bytes(bytes) => {
+                    conn.buffer.extend_from_slice(&bytes);
+                    self.heard(at);
+                    moved = true;
+                }
+                Out::Reset => return self.close(at, true),
+                Out::End => return self.lost(at),
+                Out::Nothing => {}
+            }
+            let Some(conn) = self.conns.get_mut(at).filter(|c| c.serial == serial) else { return };
+            if !moved {
+                let due =
+                    [conn.inward.due(), conn.outward.due()].into_iter().flatten().filter(|d| *d > now).min();
+                if let Some(due) = due {
+                    self.due.push(Reverse((due, Due::Pump(at, serial))));
+                }
+                if std::mem::take(&mut conn.blocked) && !conn.inward.full() {
+                    self.read(at);
+                }
+                return;
+            }
+        }
+    }
+
+    fn read(&mut self, at: u32) {
+        loop {
+            let Some(conn) = self.conns.get(at) else { return };
+            let fault = self.ways_of(conn).0;
+            let now = self.now();
+            let Some(conn) = self.conns.get_mut(at) else { return };
+            if conn.inward.full() {
+                conn.blocked = true;
+                return;
+            }
+            match wire::read(&mut conn.socket, &mut self.scratch) {
+                Tried::Read(count) => conn.inward.push(now, &self.scratch[..count], &fault, &mut self.rng),
+                Tried::Blocked => return self.pump(at),
+                Tried::Over(_) => {
+                    conn.inward.end(now, &fault, &mut self.rng);
+                    return self.pump(at);
+                }
+            }
+        }
+    }
+
+    /// A connection is over: by the host, or because a party or the way ends it.
+    fn lost(&mut self, at: u32) {
+        self.close(at, false);
+    }
+
+    fn close(&mut self, at: u32, reset: bool) {
+        let Some(mut conn) = self.conns.take(at) else { return };
+        let _ = self.poll.registry().deregister(&mut conn.socket);
+        if reset {
+            let _ = SockRef::from(&conn.socket).set_linger(Some(Duration::ZERO));
+        }
+        let id = (at, conn.serial);
+        match conn.carries {
+            Carries::Call { list, .. } => self.turns[list as usize].gone(id),
+            Carries::Line { node, open, .. } => {
+                let store = &mut self.stores[node as usize];
+                store.lines = store.lines.saturating_sub(1);
+                store.gone(id);
+                if let Some((op, _)) = open {
+                    self.note(What::Cut { node, op });
+                }
+            }
+            Carries::Client { asked, .. } => {
+                if let Some(idle) = self.idle.get_mut(&conn.host) {
+                    idle.retain(|i| *i != at);
+                }
+                if let Some(op) = asked {
+                    self.ways.remove(&op.id);
+                    self.note(What::Broken { op: op.id });
+                    self.again(&op, None);
+                }
+            }
+            Carries::Ready { .. } => {
+                let again = self.now() + ASKS_READY;
+                self.due.push(Reverse((again, Due::AskReady(conn.host))));
+            }
+        }
+    }
+
+    /// A party has something new in its buffer.
+    fn heard(&mut self, at: u32) {
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let buffer = &mut conn.buffer;
+        match &mut conn.carries {
+            Carries::Call { reader, .. } | Carries::Line { reader, .. } => {
+                let Ok(whole) = reader.advance(buffer, BOUNDS) else { return self.close(at, true) };
+                let Some(whole) = whole else { return };
+                let request = buffer.drain(..whole.end).collect::<Vec<u8>>();
+                reader.next();
+                match conn.carries {
+                    Carries::Call { .. } => self.called(at, &request),
+                    _ => self.got(at, &request),
+                }
+            }
+            Carries::Client { reader, .. } | Carries::Ready { reader } => {
+                let Ok(whole) = reader.advance(buffer, BOUNDS) else { return self.close(at, true) };
+                let Some(whole) = whole else { return };
+                *reader = AnswerReader::default();
+                let answer = buffer.drain(..whole.end).collect::<Vec<u8>>();
+                self.answered(at, &answer, whole.body);
+            }
+        }
+    }
+
+    // The list service.
+
+    fn called(&mut self, at: u32, request: &[u8]) {
+        let Ok(Some(head)) = RequestHead::read(request, BOUNDS) else { return self.close(at, true) };
+        let follows = head.target.contains("follow=1");
+        let now = self.now();
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let (id, host) = ((at, conn.serial), conn.host);
+        let Carries::Call { list, watches, asked, .. } = &mut conn.carries else { return };
+        (*watches, *asked) = (follows, true);
+        conn.buffer = head.target.as_bytes().to_vec();
+        let turns = &mut self.turns[*list as usize];
+        let handled = turns.call(now, id, &mut self.rng);
+        let waiting = turns.waiting() as u32;
+        self.note(What::Called { host, waiting });
+        if let Some(handled) = handled {
+            self.handled(id, handled);
+        }
+    }
+
+    fn handled(&mut self, id: CallId, handled: Handled) {
+        let (at, serial) = id;
+        let Some(conn) = self.conns.get_mut(at).filter(|c| c.serial == serial) else { return };
+        let (host, target) =
+            (conn.host, String::from_utf8_lossy(&std::mem::take(&mut conn.buffer)).into_owned());
+        let Carries::Call { watches, .. } = conn.carries else { return };
+        if handled == Handled::TurnedAway {
+            self.note(What::TurnedAway { host });
+            self.say(
+                at,
+                b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            );
+            return;
+        }
+        let since = target.split("since=").nth(1).and_then(|n| n.parse::<u64>().ok());
+        // Changes one by one where they are remembered; a version ahead of this one is none of this service's.
+        let oldest = self.history.front().map_or(self.seq, |h| h.0 - 1);
+        let changed = since.filter(|s| watches && (oldest..=self.seq).contains(s));
+        let nodes: Vec<u32> = match changed {
+            Some(since) => {
+                let mut nodes: Vec<u32> = self.history.iter().filter(|h| h.0 > since).map(|h| h.1).collect();
+                nodes.sort_unstable();
+                nodes.dedup();
+                nodes
+            }
+            None => (0..self.nodes()).filter(|n| self.listed(*n).ready.is_some()).collect(),
+        };
+        let line = self.line(host, changed.is_none(), &nodes);
+        self.note(What::Served { host, seq: self.seq });
+        match watches {
+            true => {
+                self.say(at, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                self.say(at, chunk(&line).as_bytes());
+            }
+            false => {
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", line.len());
+                self.say(at, (head + &line).as_bytes());
+            }
+        }
+    }
+
+    /// A line of the list as one host gets it, which counts as told.
+    fn line(&mut self, host: u32, whole: bool, nodes: &[u32]) -> String {
+        let seq = self.seq;
+        for node in nodes {
+            let entry = self.listed(*node);
+            let open = entry.ready == Some(true);
+            self.note(What::Told { host, node: *node, open, seq, born: entry.born });
+        }
+        self.text(host, whole, seq, nodes)
+    }
+
+    fn text(&self, host: u32, whole: bool, seq: u64, nodes: &[u32]) -> String {
+        let mut out = format!("{{\"seq\":{seq},\"whole\":{whole},\"hosts\":[");
+        for (i, node) in nodes.iter().enumerate() {
+            let entry = self.listed(*node);
+            let health = match entry.ready {
+                Some(true) => "ready",
+                Some(false) => "draining",
+                None => "gone",
+            };
+            let born = if entry.born == 0 { 0 } else { self.unix_ms + (entry.born / 1_000) as i64 };
+            let (dial, zone) = (self.addresses.node(host, *node), node % self.scene.zones);
+            let comma = if i > 0 { "," } else { "" };
+            write!(
+                out,
+                "{comma}{{\"host\":\"node{node}\",\"dial\":\"{dial}\",\"site\":\"z{zone}\",\"class\":\"m\",\
+                 \"block\":{},\"health\":\"{health}\",\"share\":1.0,\"born_ms\":{born}}}",
+                entry.shard
+            )
+            .expect("memory");
+        }
+        out.push_str("]}\n");
+        out
+    }
+
+    fn tell_news(&mut self) {
+        let now = self.now();
+        while let Some((_, node, entry)) = self.news.pop_front_if(|n| n.0 <= now) {
+            self.listed[node as usize] = entry;
+            self.seq += 1;
+            self.history.push_back((self.seq, node));
+            if self.history.len() > REMEMBERS {
+                self.history.pop_front();
+            }
+            for at in self.watchers() {
+                let host = self.conns.get(at).map_or(0, |c| c.host);
+                let line = self.line(host, false, &[node]);
+                self.say(at, chunk(&line).as_bytes());
+            }
+        }
+    }
+
+    fn watchers(&self) -> Vec<u32> {
+        // One whose call still waits for its turn will be told all of it then.
+        let watches =
+            |c: &Conn| matches!(c.carries, Carries::Call { watches: true, .. }) && c.buffer.is_empty();
+        self.conns.iter().filter(|(_, c)| watches(c)).map(|(at, _)| at).collect()
+    }
+
+    pub fn watching(&self) -> usize {
+        self.watchers().len()
+    }
+
+    /// The version that was last written towards a host; 0: none.
+    pub fn told(&self, host: u32) -> u64 {
+        let to = |s: &Seen| match s.what {
+            What::Told { host: h, seq, .. } if h == host => Some(seq),
+            _ => None,
+        };
+        self.seen.iter().rev().find_map(to).unwrap_or(0)
+    }
+
+    /// Whether something of the list service is still under way to a host.
+    pub fn waits_for_news(&self, host: u32) -> bool {
+        let of = |c: &Conn| c.host == host && matches!(c.carries, Carries::Call { .. });
+        self.conns.iter().any(|(_, c)| of(c) && c.outward.due().is_some())
+    }
+
+    pub fn version(&self) -> u64 {
+        self.seq
+    }
+
+    /// The configuration of a host, as it is told at this start.
+    pub fn config(&self, host: u32, list: u32, seed: u64) -> String {
+        let known = match self.scene.known {
+            Known::None => "null".to_owned(),
+            known => {
+                let gone = known == Known::Old;
+                let alive = |n: &u32| self.listed(*n).ready.is_some();
+                let nodes: Vec<u32> =
+                    (0..self.nodes()).filter(|n| alive(n) && !(gone && n % 2 == 1)).collect();
+                let seq = if known == Known::Ahead { self.seq + 1_000 } else { self.seq.saturating_sub(9) };
+                let text = self.text(host, true, if known == Known::Now { self.seq } else { seq }, &nodes);
+                // A list of the day before names nodes that are no more.
+                if gone { text.replace("node0\"", "node-of-old\"") } else { text }
+            }
+        };
+        super::scene::config(&self.scene, host, self.addresses, list, seed, &known)
+    }
+
+    // Nodes.
+
+    fn got(&mut self, at: u32, request: &[u8]) {
+        let Ok(Some(head)) = RequestHead::read(request, BOUNDS) else { return self.close(at, true) };
+        let text = |name| head.headers.single(name).ok().flatten().unwrap_or_default();
+        let op = u64::from_str_radix(text("X-Request-ID"), 16).unwrap_or(0);
+        let placement = text("X-Placement");
+        let units =
+            placement.strip_prefix("units=").and_then(|t| t.split(',').next()?.parse().ok()).unwrap_or(1);
+        let write = head.method == "PUT";
+        let now = self.now();
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let (id, host) = ((at, conn.serial), conn.host);
+        let Carries::Line { node, open, fresh, .. } = &mut conn.carries else { return };
+        let (node, first) = (*node, std::mem::take(fresh));
+        *open = Some((op, units));
+        self.note(What::Got { node, host, op, units, write });
+        let job = Job { from: id, op, units: f64::from(units), first };
+        match self.stores[node as usize].got(now, job) {
+            Got::Queued => {}
+            Got::Full => self.node_says(at, node, op, false),
+            Got::Fell => {
+                self.note(What::Fell { node });
+                self.cut_lines(node);
+                self.set_doors();
+                let down = now + self.scene.manners.down;
+                let (entry, lag) = (self.listed[node as usize], self.scene.lag);
+                self.news.push_back((down + lag, node, Listed { born: down, ready: Some(true), ..entry }));
+                self.due.push(Reverse((down + lag, Due::News)));
+            }
+        }
+    }
+
+    fn node_says(&mut self, at: u32, node: u32, op: u64, ran: bool) {
+        if let Some(conn) = self.conns.get_mut(at)
+            && let Carries::Line { open, .. } = &mut conn.carries
+        {
+            *open = None;
+        }
+        self.note(What::Said { node, op, ran });
+        let text = match ran {
+            true => format!("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{op:016x}"),
+            false => "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        };
+        self.say(at, text.as_bytes());
+    }
+
+    // Clients.
+
+    /// Clients ask from now on, or no more.
+    pub fn clients_ask(&mut self, ask: bool) {
+        self.asking = ask;
+        let now = self.now();
+        self.callers.begin(now);
+    }
+
+    /// Requests of clients that have no final answer yet.
+    pub fn in_hand(&self) -> usize {
+        self.ways.len()
+    }
+
+    fn ask(&mut self, op: Op) {
+        let (ready, rng) = (&self.ready, &mut self.rng);
+        let host = self.callers.host(&op, |h| ready[h as usize] == Some(true), rng);
+        let Some(host) = host else {
+            self.note(What::NoHost { op: op.id });
+            return self.again(&op, None);
+        };
+        let kept = self.idle.get_mut(&host).and_then(Vec::pop);
+        let carries = || Carries::Client { reader: AnswerReader::default(), asked: None };
+        let Some(at) = kept.or_else(|| self.dial(host, carries())) else {
+            self.note(What::NoHost { op: op.id });
+            return self.again(&op, None);
+        };
+        let (method, group) = if op.write { ("PUT", "book") } else { ("GET", "look") };
+        let plan = if self.callers.volume(op.volume).limited { "basic" } else { "priority" };
+        let body = if op.write { "Content-Length: 6\r\n\r\nposted" } else { "\r\n" };
+        let text = format!(
+            "{method} /{group}/{:016x}/{:016x} HTTP/1.1\r\nHost: lab\r\nX-Request-ID: {:016x}\r\n\
+             X-Priority-Class: {group}\r\nX-Qos-Policy: {plan}\r\nX-Timeout-Ms: {}\r\n\
+             X-Placement: units={},shard={},hosts={}\r\n{body}",
+            op.volume,
+            op.piece,
+            op.id,
+            op.wait / 1_000,
+            op.units,
+            op.shard,
+            op.hosts
+        );
+        if let Some(conn) = self.conns.get_mut(at)
+            && let Carries::Client { asked, .. } = &mut conn.carries
+        {
+            *asked = Some(op);
+        }
+        let Op { id, volume, piece, write, units, wait, .. } = op;
+        self.note(What::Asked { op: id, host, volume, piece, write, units, wait });
+        self.ways.insert(id, host);
+        if self.way_at_fault(host) {
+            self.note(What::Excused { op: id });
+        }
+        // A client on the same machine hears of an answer as late as the machine lets it.
+        self.over_at(at, wait + SLACK);
+        self.say(at, text.as_bytes());
+    }
+
+    fn again(&mut self, op: &Op, named: Option<Micros>) {
+        let now = self.now();
+        if let Some((at, op)) = self.callers.again(now, op, named, &mut self.rng).filter(|_| self.asking) {
+            let place = self.again.put(op);
+            self.due.push(Reverse((at, Due::Again(place as usize))));
+        }
+    }
+
+    fn answered(&mut self, at: u32, answer: &[u8], body: usize) {
+        let Ok(Some(head)) = AnswerHead::read(answer, BOUNDS) else { return self.close(at, true) };
+        let (status, closes) = (head.status, head.close);
+        let named = head.headers.single("Retry-After").ok().flatten().and_then(|t| t.parse::<f64>().ok());
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let host = conn.host;
+        conn.serial = self.serial + 1;
+        self.serial += 1;
+        match &mut conn.carries {
+            Carries::Client { asked, .. } => {
+                let Some(op) = asked.take() else { return self.close(at, true) };
+                let made = status == 200 && answer[body..] == *format!("{:016x}", op.id).as_bytes();
+                self.ways.remove(&op.id);
+                self.note(What::Answered { op: op.id, status, made });
+                let idle = self.idle.entry(host).or_default();
+                if closes || idle.len() >= KEPT {
+                    self.close(at, false);
+                } else {
+                    idle.push(at);
+                }
+                if status != 200 {
+                    self.again(&op, named.map(|s| (s * 1e6) as Micros));
+                }
+            }
+            Carries::Ready { .. } if status == 200 && self.ready[host as usize] == Some(false) => {
+                self.ready[host as usize] = Some(true);
+                self.note(What::HostReady { host });
+                self.close(at, false);
+            }
+            _ => self.close(at, false),
+        }
+    }
+
+    fn over(&mut self, at: u32, serial: u64) {
+        let Some(conn) = self.conns.get_mut(at).filter(|c| c.serial == serial) else { return };
+        if let Carries::Client { asked, .. } = &mut conn.carries
+            && let Some(op) = asked.take()
+        {
+            self.ways.remove(&op.id);
+            self.note(What::Left { op: op.id });
+        }
+        self.close(at, false);
+    }
+
+    // The loop.
+
+    fn next_due(&self) -> Option<Micros> {
+        let timer = self.due.peek().map(|d| d.0.0);
+        let lists = self.turns.iter().filter_map(Turns::due);
+        let stores = self.stores.iter().filter_map(Store::due);
+        let clients = self.asking.then(|| self.callers.due());
+        timer.into_iter().chain(lists).chain(stores).chain(clients).min()
+    }
+
+    /// Waits for something to happen, so long at most, and does what follows from it.
+    pub fn turn(&mut self, most: Duration) {
+        let wait = self
+            .next_due()
+            .map_or(most, |due| Duration::from_micros(due.saturating_sub(self.now())).min(most));
+        let mut events = Events::with_capacity(EVENTS);
+        if let Err(e) = self.poll.poll(&mut events, Some(wait)) {
+            assert!(e.kind() == io::ErrorKind::Interrupted, "poll: {e}");
+        }
+        for event in &events {
+            let Token(token) = event.token();
+            match token % 2 {
+                0 => self.accept(token / 2),
+                _ => self.read((token / 2) as u32),
+            }
+        }
+        self.run_due();
+    }
+
+    fn accept(&mut self, at: usize) {
+        for _ in 0..ACCEPTS {
+            let Some(door) = self.doors.get(at).filter(|d| d.opening == Opening::Up) else { return };
+            let Some(Ok((socket, _))) = door.listener.as_ref().map(TcpListener::accept) else { return };
+            let _ = socket.set_nodelay(true);
+            let (host, party) = (door.host, door.party);
+            let reader = RequestReader::default();
+            match party {
+                Party::Node(node) => {
+                    self.stores[node as usize].lines += 1;
+                    self.note(What::Opened { node, host });
+                    let at =
+                        self.enter(host, socket, Carries::Line { node, reader, open: None, fresh: true });
+                    self.read(at);
+                }
+                Party::List(list) => {
+                    let at = self.enter(
+                        host,
+                        socket,
+                        Carries::Call { list, reader, watches: false, asked: false },
+                    );
+                    self.read(at);
+                }
+                _ => {}
+            }
+        }
+        // More may wait: an edge-triggered poll would not say so again.
+        if let Some(Some(listener)) = self.doors.get_mut(at).map(|d| d.listener.as_mut()) {
+            let _ = self.poll.registry().reregister(listener, Token(2 * at), Interest::READABLE);
+        }
+    }
+
+    fn run_due(&mut self) {
+        let now = self.now();
+        while let Some(Reverse((at, due))) = self.due.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.due.pop();
+            match due {
+                Due::Pump(at, serial) => {
+                    if self.conns.get(at).is_some_and(|c| c.serial == serial) {
+                        self.pump(at);
+                    }
+                }
+                Due::Over(at, serial) => self.over(at, serial),
+                Due::Again(place) => {
+                    if let Some(op) = self.again.take(place as u32).filter(|_| self.asking) {
+                        self.ask(op);
+                    }
+                }
+                Due::AskReady(host) => self.ask_ready(host),
+                Due::Sign => {
+                    for at in self.watchers() {
+                        self.say(at, chunk("\n").as_bytes());
+                    }
+                    self.due.push(Reverse((now + SIGN, Due::Sign)));
+                }
+                Due::News => {
+                    self.set_doors();
+                    self.tell_news();
+                }
+            }
+        }
+        for list in 0..self.turns.len() {
+            while let Some((id, handled)) = self.turns[list].next(now) {
+                self.handled(id, handled);
+            }
+        }
+        for node in 0..self.stores.len() {
+            while let Some(job) = self.stores[node].next(now) {
+                let (at, serial) = job.from;
+                if self.conns.get(at).is_some_and(|c| c.serial == serial) {
+                    self.node_says(at, node as u32, job.op, true);
+                }
+            }
+        }
+        // A loop that was kept from running has many to send; each round looks at its sockets in between.
+        for _ in 0..ACCEPTS {
+            if !self.asking {
+                break;
+            }
+            let Some(op) = self.callers.next(now, &mut self.rng) else { break };
+            self.ask(op);
+        }
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Addresses that no other run on this machine uses now.
+fn claim() -> Result<(Addresses, Claim), String> {
+    let first = (std::process::id() * 7) % 200;
+    for n in 0..200 {
+        let addresses = Addresses(20 + ((first + n) % 200) as u8);
+        if let Ok(held) = std::net::TcpListener::bind(addresses.of(0, PORT_CLAIM)) {
+            return Ok((addresses, Claim { _held: held }));
+        }
+    }
+    Err("no free loopback addresses".into())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod block;
 pub mod brute;
+pub mod fleet;
 pub mod listd;
 pub mod load;
 pub mod node;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,4 +1,5 @@
 use clap::{Parser, Subcommand};
+use mallowseam_lab::fleet::{play as fleet, processes, scene};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
 use mallowseam_lab::{bench, brute, script, sharesday, snapbench};
 use mallowseam_shares::model::Problem;
@@ -23,8 +24,11 @@
     },
     /// Play a script of trouble through real hosts and judge it by what passed on the sockets
     Rehearse {
-        /// bad-day, month-end, tariff-night, demo, short, or a script's file
+        /// bad-day, month-end, tariff-night, demo, short or cold-start, or a script's file (.fleet: of a fleet)
         script: String,
+        /// How many hosts a fleet's script is played with, nodes and clients in proportion
+        #[arg(long)]
+        hosts: Option<u32>,
         #[arg(long, default_value_t = 1)]
         seed: u64,
         /// How many seeds in a row, from the first on
@@ -71,7 +75,10 @@
 fn main() -> ExitCode {
     match Line::parse().what {
         What::Demo { seed } => play("demo", seed, 1, false),
-        What::Rehearse { script, seed, seeds, quiet } => play(&script, seed, seeds, quiet),
+        What::Rehearse { script, hosts, seed, seeds, quiet } => match fleet_script(&script) {
+            Some(text) => finish(text.and_then(|t| play_fleet(&script, &t, hosts, seed, seeds, quiet))),
+            None => play(&script, seed, seeds, quiet),
+        },
         What::SharesCheck { seed, count } => shares_check(seed, count),
         What::SharesDay { seed, seeds } => {
             finish(sharesday::run(seed, seeds, &program()).map(|(text, kept)| {
@@ -157,6 +164,56 @@
     Ok(kept)
 }
 
+const FLEETS: [(&str, &str); 1] = [("cold-start", include_str!("../scripts/cold-start.fleet"))];
+
+fn fleet_script(name: &str) -> Option<Result<String, String>> {
+    match FLEETS.iter().find(|s| s.0 == name) {
+        Some((_, text)) => Some(Ok((*text).to_owned())),
+        None => name
+            .ends_with(".fleet")
+            .then(|| std::fs::read_to_string(name).map_err(|e| format!("{name}: {e}"))),
+    }
+}
+
+fn play_fleet(
+    name: &str,
+    text: &str,
+    hosts: Option<u32>,
+    seed: u64,
+    seeds: u64,
+    quiet: bool,
+) -> Result<bool, String> {
+    let scene = scene::read(name, text).map_err(|p| p.to_string())?;
+    let scene = hosts.map_or(scene.clone(), |h| scene.scaled(h));
+    let this = std::env::current_exe().map_err(|e| e.to_string())?;
+    let program = processes::Program::beside(&this);
+    let mut kept = true;
+    for seed in seed..seed + seeds {
+        println!(
+            "{name}, seed {seed}: {} hosts, {} nodes, {} s",
+            scene.hosts,
+            scene.nodes,
+            scene.length / 1_000_000
+        );
+        let dir = tempfile::tempdir().map_err(|e| e.to_string())?;
+        let outcome = fleet::run(&scene, seed, &program, dir.path(), &mut |at, what| {
+            if !quiet {
+                println!("{:>7.2} s  {what}", at as f64 / 1e6);
+            }
+        })?;
+        if !quiet {
+            print!("{}", outcome.table());
+        }
+        println!("{}", outcome.last_line(&scene));
+        if !outcome.good(&scene) {
+            outcome.evidence(&scene).iter().for_each(|e| println!("{e}"));
+            println!("logs and configurations: {}", dir.keep().display());
+            kept = false;
+        }
+    }
+    Ok(kept)
+}
+
 fn report(outcome: &Outcome, quiet: bool) -> bool {
     let v = &outcome.verdict;
     if !quiet {
--- /dev/null
+++ b/crates/lab/tests/fleet/cold_start.rs
@@ -0,0 +1,36 @@
+use crate::stage::{changed, close, stage, until};
+use mallowseam_lab::fleet::links::{Fault, Party, Side};
+
+#[test]
+fn five_hosts_start_at_once_each_has_a_list_by_one_call_and_all_serve() {
+    let (mut stage, _dir) = stage(&changed(&[]), 1);
+    stage.start_all().expect("processes");
+    until(&mut stage, "all are ready", |s| (0..5).all(|h| s.world.is_ready(h)));
+    stage.world.clients_ask(true);
+    until(&mut stage, "all watch", |s| s.world.watching() == 5);
+    let from = stage.world.now();
+    stage.until(from + 2_000_000).expect("a while");
+    let v = close(stage).verdict;
+    assert_eq!((v.calls, v.fresh.len()), (5, 5));
+    // Stores of limits open empty, and a third of the volumes has one.
+    assert!(v.served * 10 > v.asked * 6, "{} of {}", v.served, v.asked);
+}
+
+#[test]
+fn a_host_cut_off_from_the_list_service_alone_serves_on_and_hears_of_news_once_it_is_back() {
+    let (mut stage, _dir) = stage(&changed(&[]), 2);
+    stage.start_all().expect("processes");
+    until(&mut stage, "all watch", |s| s.world.watching() == 5);
+    stage.world.clients_ask(true);
+    let cut = Fault { silent: true, ..Fault::default() };
+    stage.world.link(Side::Lists, Side::One(Party::Host(2)), cut);
+    stage.world.stop_node(0);
+    stage.world.start_node(0);
+    let version = stage.world.version() + 2;
+    let told = |s: &mut mallowseam_lab::fleet::play::Stage, host: u32| s.world.told(host) >= version;
+    until(&mut stage, "the others have heard", |s| [0, 1, 3, 4].iter().all(|h| told(s, *h)));
+    assert!(!told(&mut stage, 2) || stage.world.waits_for_news(2), "one way is cut");
+    stage.world.link(Side::Lists, Side::One(Party::Host(2)), Fault::default());
+    until(&mut stage, "it has heard", |s| told(s, 2) && !s.world.waits_for_news(2));
+    close(stage);
+}
--- /dev/null
+++ b/crates/lab/tests/fleet/main.rs
@@ -0,0 +1,4 @@
+//! Several processes of the program, and faults between them.
+mod cold_start;
+mod rules;
+mod stage;
