Told to end, a host takes block I/Os for as long as it can answer them before it is killed

PROTOCOL: clients go on with the connections they have while these stay open, and SIGKILL comes no sooner than the longest hard limit (3 s at most) and 0.7 s. The 650 ms of conduct's front.rs are the lines at fault.

By SIGTERM a host lets clients in until its longest latency goal before it has to have all answers out (60 ms before the earliest SIGKILL), and caps each submit's wait there, so the scheduler hears of a time-out in time. What it holds unsent is over by its goal. By SIGINT (by hand) it is as before, 650 ms. The limit of the submit is capped, not the block I/O's hard limit: equal hard limits of one volume would look like one client's repeats.

Stories: served on at 1.5 s and over before 2.7 s with a silent node; by hand as ever.

--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -1,7 +1,7 @@
 //! Connections of clients: requests are read off them one at a time, and answers written.
 use crate::{MESSAGE, take_front, tidy};
 use mallowseam_conduct::Millis;
-use mallowseam_conduct::front::{self, Care, Doing, Guest};
+use mallowseam_conduct::front::{self, Care, Doing, Guest, Leaving};
 use mallowseam_http1::{Fault, RequestHead, RequestReader, Whole};
 use mallowseam_platform::answer;
 use mallowseam_scheduler::host::BioId;
@@ -50,7 +50,7 @@
     bytes: usize,
     bytes_most: usize,
     /// Since when the host is to end.
-    pub leaving: Option<Millis>,
+    pub leaving: Option<Leaving>,
     /// Those with more to read or to look at.
     pub turns: VecDeque<u32>,
     pub counts: Counts,
@@ -316,7 +316,7 @@
     ) {
         let Some(client) = self.all.get_mut(at) else { return };
         let before = client.bytes();
-        let ends = front::last_answer(self.leaving, now);
+        let ends = self.leaving.is_some_and(|l| !l.lets_in(now));
         client.last |= ends || client.left || client.reader.closes();
         answer::write(&mut client.out.small, status, body, come_back, client.last);
         put(&mut client.out);
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -9,7 +9,7 @@
 use mallowseam_platform::settings::Named;
 use mallowseam_scheduler::host::*;
 use mallowseam_scheduler::scheduler::Scheduler;
-use mallowseam_sockets::clock::millis;
+use mallowseam_sockets::clock::{millis, ticks};
 use mallowseam_sockets::slots::Slots;
 use std::collections::VecDeque;
 
@@ -243,6 +243,10 @@
     fn submit(&mut self, bio: BioId, node: NodeId, limit: Tick) {
         let now = self.now;
         let most = self.named.terms.max_submits;
+        // Told to end, a host has all its answers out before it is killed; what it still holds by then is over, as
+        // latency goals are.
+        let by = self.clients.leaving.and_then(|l| l.answers_by());
+        let limit = by.map_or(limit, |by| limit.min(ticks(by) - now));
         let Some(held) = self.held.get_mut(bio.0) else { return };
         held.submits += 1;
         let moot = held.hard_limit <= now || limit <= 0 || most > 0 && held.submits > most;
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -3,8 +3,7 @@
 use crate::desk::Desk;
 use crate::discovery::{Call, Heard};
 use crate::nodes::Nodes;
-use mallowseam_conduct::Millis;
-use mallowseam_conduct::front::{self, Doing};
+use mallowseam_conduct::front::{Doing, Leaving};
 use mallowseam_conduct::parting::{self, Keep};
 use mallowseam_platform::config::{self, Config};
 use mallowseam_platform::list::News;
@@ -22,6 +21,7 @@
 const HUP: Token = Token(2);
 const WATCH: Token = Token(3);
 const FETCH: Token = Token(4);
+const INT: Token = Token(5);
 const CALLERS: usize = 8;
 /// Bytes read from a socket in one go.
 const SCRATCH: usize = 128 * 1024;
@@ -67,14 +67,15 @@
     listener: Option<TcpListener>,
     accepting: bool,
     term: UnixStream,
+    int: UnixStream,
     hup: UnixStream,
     watch: Option<Call>,
     fetch: Option<Call>,
     /// The version of the list, once one was told.
     seq: Option<u64>,
     told: bool,
-    /// Since when the host is to end.
-    leaving: Option<Millis>,
+    /// The host is to end.
+    leaving: Option<Leaving>,
     scratch: Vec<u8>,
     looked: Tick,
     logged: Tick,
@@ -120,7 +121,8 @@
         use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
         let registry = || poll.registry().try_clone().map_err(failure("poll"));
         let hup = signals::pipe(poll, HUP, &[SIGHUP]).map_err(failure("signals"))?;
-        let term = signals::pipe(poll, TERM, &[SIGTERM, SIGINT]).map_err(failure("signals"))?;
+        let term = signals::pipe(poll, TERM, &[SIGTERM]).map_err(failure("signals"))?;
+        let int = signals::pipe(poll, INT, &[SIGINT]).map_err(failure("signals"))?;
         let listening = failure(format!("listen {}", config.listen));
         let mut listener = TcpListener::bind(config.listen).map_err(listening)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(failure("poll"))?;
@@ -162,6 +164,7 @@
             listener: Some(listener),
             accepting: false,
             term,
+            int,
             hup,
             watch: None,
             fetch: None,
@@ -197,7 +200,7 @@
 
     fn over(&self) -> bool {
         let clients = self.desk.clients.len();
-        self.leaving.is_some_and(|told| front::ends(told, millis(self.desk.now), clients))
+        self.leaving.is_some_and(|l| l.over(millis(self.desk.now), clients))
     }
 
     fn wait(&self) -> std::time::Duration {
@@ -220,7 +223,13 @@
                 WATCH => self.hear(WATCH),
                 FETCH => self.hear(FETCH),
                 HUP if drain(&mut self.hup) => self.reload(),
-                TERM if drain(&mut self.term) => self.leave(),
+                TERM if drain(&mut self.term) => {
+                    let named = &self.desk.named;
+                    let goal = named.terms.groups.iter().map(|g| g.goal).max().unwrap_or(0);
+                    let (longest, goal) = (millis(named.longest), millis(goal));
+                    self.leave(Leaving::platform(millis(self.desk.now), longest, goal));
+                }
+                INT if drain(&mut self.int) => self.leave(Leaving::by_hand(millis(self.desk.now))),
                 LISTENER => self.accepting = true,
                 _ => {}
             }
@@ -291,7 +300,7 @@
                 self.lost(token, "silent");
             }
         }
-        if self.leaving.is_some() && !front::lets_in(self.leaving, now) {
+        if self.leaving.is_some_and(|l| !l.lets_in(now)) {
             self.shut();
         }
         if self.desk.now >= self.logged + TELL {
@@ -337,10 +346,10 @@
         }
     }
 
-    fn leave(&mut self) {
+    fn leave(&mut self, leaving: Leaving) {
         if self.leaving.is_none() {
             tracing::info!(clients = self.desk.clients.len(), in_hand = self.desk.in_hand(), "told to end");
-            self.leaving = Some(millis(self.desk.now));
+            self.leaving = Some(leaving);
             self.desk.clients.leaving = self.leaving;
         }
     }
--- a/crates/sockets/src/clock.rs
+++ b/crates/sockets/src/clock.rs
@@ -58,6 +58,11 @@
     (ticks.max(0) as u64) * MICROS / 1000
 }
 
+/// A time in milliseconds as ticks.
+pub fn ticks(millis: u64) -> Tick {
+    (millis * 1000 / MICROS) as Tick
+}
+
 pub fn span(ticks: Tick) -> Duration {
     Duration::from_micros(ticks.max(0) as u64 * MICROS)
 }
