A crowd of idle connections at a node gives way, so that every host is served

The record shows the same hosts turned away at the same nodes on the same connections, for good, and 64 others idle there. Ruled out: no node fell, no calls waiting, hosts used 17 ms of processor time in 16 s. Lines at fault: answered() in platform-host/nodes.rs keeps a connection behind a turned-away submit, which then never grows old; and Keep in conduct/parting.rs holds idle ones 15 s, whatever crowd there is.

Change, two parts, each needed: a connection is not kept behind a submit that was turned away; a host whose first submit on a new connection is turned away keeps its own idle ones for half as long, once a second at most, and twice as long again after each 10 s.

Story with ten hosts and places for four: fails without either part.

--- a/crates/conduct/src/parting.rs
+++ b/crates/conduct/src/parting.rs
@@ -23,7 +23,9 @@
 const KEPT_LEAST: Millis = 25;
 /// A node that has forgotten a connection answers the first bytes on it with a reset, a round trip later.
 const DIED_WITHIN: Millis = 5;
-/// Without a death for so long, connections are kept twice as long as before.
+/// A crowd counts once in so long: it takes that for what others give up to show.
+const CROWDED_AGAIN: Millis = 1_000;
+/// Without a death or a crowd for so long, connections are kept twice as long as before.
 const REGROWS: Millis = 10_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,13 +59,15 @@
     most: Millis,
     /// Since when it stands.
     since: Millis,
+    /// When a crowd was last met.
+    crowded: Millis,
 }
 
 impl Keep {
     /// `idle_close`: when a node closes an idle connection at the latest; 0: not told.
     pub fn new(idle_close: Millis, now: Millis) -> Self {
         let most = if idle_close > 0 { idle_close / IDLE_PART } else { KEPT_UNTOLD };
-        Keep { keep: most, most, since: now }
+        Keep { keep: most, most, since: now, crowded: 0 }
     }
 
     /// A connection that had stood idle for so long broke before a byte of its answer, so long after its submit.
@@ -75,6 +79,16 @@
         }
     }
 
+    /// A node turned away the first submit of a new connection: it may have no place for one more, and what all hosts
+    /// keep idle is what fills it. Each host that meets a crowd keeps its own for half as long, so that together they
+    /// come to what fits; a node whose queue is full looks the same, and costs some new connections.
+    pub fn crowded(&mut self, now: Millis) {
+        if now >= self.crowded + CROWDED_AGAIN {
+            self.keep = (self.keep / 2).max(KEPT_LEAST);
+            (self.since, self.crowded) = (now, now);
+        }
+    }
+
     /// How long they are kept as of now: twice as long after each while without a death.
     pub fn now(&mut self, now: Millis) -> Millis {
         while self.keep < self.most && now >= self.since + REGROWS {
@@ -104,6 +118,14 @@
     }
 }
 
+/// Whether a connection is kept behind an answer. Guards against a crowd: a node holds only so many connections and
+/// turns away what comes on the others, whose hosts, trying again on them, would hold them open for good and never
+/// be served. Given up, the next try finds whatever place has become free. Costs a new connection where a node's queue
+/// was full, which is when hosts come more slowly anyway.
+pub fn kept_behind(turned_away: bool) -> bool {
+    !turned_away
+}
+
 /// Of a node's idle connections, the one that serves a submit: the latest used that has rested, so that those
 /// not needed grow old. `idle` tells for how long each has stood, the latest used last.
 pub fn choose(
@@ -164,6 +186,19 @@
         assert_eq!(keep.now(900_000), 15_000);
     }
 
+    #[test]
+    fn a_host_that_meets_a_crowd_keeps_idle_connections_for_less_second_by_second() {
+        let mut keep = Keep::new(30_000, 0);
+        for at in [5_000, 5_010, 5_999, 6_000, 7_100] {
+            keep.crowded(at);
+        }
+        assert_eq!(keep.now(7_200), 15_000 / 8);
+        assert_eq!(keep.now(7_100 + REGROWS), 15_000 / 4, "and longer again once it meets none");
+        (8_000..30_000).step_by(1_000).for_each(|at| keep.crowded(at));
+        assert_eq!(keep.now(30_000), KEPT_LEAST);
+        assert!(kept_behind(false) && !kept_behind(true));
+    }
+
     #[test]
     fn a_reset_of_a_request_under_way_or_on_a_fresh_connection_is_no_death_of_an_idle_one() {
         let mut keep = Keep::new(30_000, 0);
--- a/crates/lab/tests/fleet/cold_start.rs
+++ b/crates/lab/tests/fleet/cold_start.rs
@@ -34,3 +34,23 @@
     until(&mut stage, "it has heard", |s| told(s, 2) && !s.world.waits_for_news(2));
     close(stage);
 }
+
+#[test]
+fn where_nodes_hold_fewer_connections_than_there_are_hosts_every_host_is_served_again_and_again() {
+    let few = [("hosts 5", "hosts 10"), ("lines 64 1ms", "lines 4 1ms"), ("rate 60/s", "rate 80/s")];
+    let (mut stage, _dir) = stage(&changed(&few), 3);
+    stage.start_all().expect("processes");
+    until(&mut stage, "all watch", |s| s.world.watching() == 10);
+    stage.world.clients_ask(true);
+    let from = stage.world.now();
+    stage.until(from + 5_000_000).expect("a while");
+    // Past that, places must go from hand to hand.
+    let mark = stage.world.seen.len();
+    let served = |s: &mallowseam_lab::fleet::play::Stage, node: u32, host: u32| {
+        s.world.served(mark).filter(|g| *g == (node, host)).count() > 1
+    };
+    until(&mut stage, "every host by every node, twice", |s| {
+        (0..3).all(|node| (0..10).all(|host| served(s, node, host)))
+    });
+    close(stage);
+}
--- a/crates/platform-host/src/nodes.rs
+++ b/crates/platform-host/src/nodes.rs
@@ -434,8 +434,12 @@
         let Some(line) = self.lines.get(place) else { return Ready::Nothing };
         let head = AnswerHead::read(&line.buffer[whole.start..], ANSWER).ok().flatten().expect("read before");
         let said = answer::read(&head);
-        let close = head.close || line.buffer.len() > whole.end || !line.written();
-        let node = line.node;
+        let kept = parting::kept_behind(said.ending == Ending::Busy);
+        let close = head.close || !kept || line.buffer.len() > whole.end || !line.written();
+        let (node, fresh) = (line.node, !line.used);
+        if !kept && fresh {
+            self.keep.crowded(millis(now));
+        }
         let came = Came { said: Some(said), ..came(said.ending) };
         if let Some(node) = self.node_mut(node) {
             node.answered += 1;
