Hosts call the list service as seldom, all together, as it can handle

Lines at fault: ASK_FIRST and the doubling in scheduler.rs, which know nothing of the number of hosts that the terms state.

Change, in the module, as it has always decided when to ask: the first call is drawn over 30 ms for each host (never under 0.2 s); a failed one is made again after the same span, so that each keeps its place; who loses a watch draws anew, as all lost it together. SIGHUP to another service: drawn over 2 s at most, and the old watch stands until then. A call is given up after 1.2 s in place of 2 s: the service keeps one waiting 1 s.

--- a/crates/conduct/src/watch.rs
+++ b/crates/conduct/src/watch.rs
@@ -1,8 +1,9 @@
 //! When a call to the node list service has failed.
 use crate::Millis;
 
-/// From a call to the head of its answer: the service may let a call wait its turn for a second.
-const ANSWERED_WITHIN: Millis = 2_000;
+/// From a call to the head of its answer: the service lets a call wait its turn for a second at most, and whoever
+/// waits longer only stands in the way of others.
+const ANSWERED_WITHIN: Millis = 1_200;
 /// A whole list comes within this.
 const WHOLE_WITHIN: Millis = 4_000;
 /// A watch with nothing to tell says so every 2 s; three of them missed, and it is dead.
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -38,6 +38,10 @@
         /// Log lines as JSON objects
         #[arg(long)]
         json: bool,
+        /// Milliseconds that one call takes of the list service, 0 to 10000: all hosts together spread their calls
+        /// so that it can handle them (30 where this is not given)
+        #[arg(long, value_name = "MS", value_parser = clap::value_parser!(u16).range(..=10_000))]
+        list_turn: Option<u16>,
     },
     /// Run the catalog of snapshots and clones in the foreground until SIGTERM or SIGINT
     Catalog {
@@ -308,11 +312,14 @@
             start_log(log, json);
             load(&file).and_then(|site| crate::run(site).map_err(|e| (FAILED, e.to_string())))
         }
-        What::Host { json } => {
+        What::Host { json, list_turn } => {
             start_log(Level::Info, json);
             let path = std::env::var_os("GW_CONFIG").map(PathBuf::from);
             let path = path.ok_or_else(|| (BAD_FILE, "GW_CONFIG: names no configuration".to_owned()));
-            path.and_then(|p| mallowseam_platform_host::run(&p).map_err(|e| (FAILED, e.to_string())))
+            path.and_then(|p| {
+                mallowseam_platform_host::run(&p, list_turn.map(u64::from))
+                    .map_err(|e| (FAILED, e.to_string()))
+            })
         }
         What::Catalog { file, die_at, log, json } => {
             start_log(log, json);
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -33,6 +33,7 @@
         longest_return: down(fleet.come_back),
         max_submits: fleet.submits,
         list_on_request: site.host.node_list.is_some(),
+        ask_turn: None,
         word_by_half: false,
         cold_bears: fleet.cold_bears,
         cold_from: fleet.cold_from,
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -275,7 +275,10 @@
             Trouble::Term(some) => self.hosts(some).for_each(|h| self.term(h)),
             Trouble::Stall(some, stall) => {
                 let signal = if stall { Signal::SIGSTOP } else { Signal::SIGCONT };
-                self.hosts(some).for_each(|h| self.fleet.signal(h, signal));
+                for host in self.hosts(some) {
+                    self.fleet.signal(host, signal);
+                    self.world.stall(host, stall);
+                }
             }
             Trouble::Move(some) => {
                 for host in self.hosts(some) {
--- a/crates/lab/src/fleet/processes.rs
+++ b/crates/lab/src/fleet/processes.rs
@@ -22,6 +22,12 @@
             false => Program { path: this.to_owned(), args: vec!["host".into(), "host".into()] },
         }
     }
+
+    /// The same with further arguments.
+    pub fn with(mut self, args: &[&str]) -> Self {
+        self.args.extend(args.iter().map(|a| (*a).to_owned()));
+        self
+    }
 }
 
 /// What a process uses.
--- a/crates/lab/tests/fleet/main.rs
+++ b/crates/lab/tests/fleet/main.rs
@@ -2,3 +2,4 @@
 mod cold_start;
 mod rules;
 mod stage;
+mod storms;
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -219,6 +219,12 @@
         self.settle(scheduler);
     }
 
+    pub fn list_moved(&mut self, scheduler: &mut Scheduler) {
+        let now = self.now;
+        scheduler.list_moved(self, now);
+        self.settle(scheduler);
+    }
+
     /// The time that the scheduler asked for has come. Nothing else wakes it: it names each time once, and would take
     /// a call past the time that is set here for that one, and wait for the next in vain.
     pub fn woken(&mut self, scheduler: &mut Scheduler) {
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -9,7 +9,7 @@
 use mallowseam_platform::list::News;
 use mallowseam_scheduler::host::{Host, ListForm, NodeId, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
-use mallowseam_sockets::clock::{Clock, Looks, millis, span};
+use mallowseam_sockets::clock::{Clock, Looks, millis, span, ticks};
 use mallowseam_sockets::signals;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
@@ -87,9 +87,11 @@
     config::read(&text).map_err(|problems| Failure(format!("{name}:\n{problems}")))
 }
 
-/// Runs a host by the configuration at a path until it is told to end.
-pub fn run(path: &Path) -> Result<(), Failure> {
-    let config = load(path)?;
+/// Runs a host by the configuration at a path until it is told to end. `list_turn`: milliseconds that a call takes
+/// of the list service, where somebody says so.
+pub fn run(path: &Path, list_turn: Option<u64>) -> Result<(), Failure> {
+    let mut config = load(path)?;
+    config.named.terms.ask_turn = list_turn.map(ticks);
     let mut poll = Poll::new().map_err(failure("poll"))?;
     let mut host = Platform::open(path, config, &poll)?;
     let mut events = Events::with_capacity(EVENTS);
@@ -373,7 +375,8 @@
         tracing::info!(discovery = %config.discovery, moved, "the configuration is taken");
         self.config.discovery = config.discovery;
         if moved {
-            self.call(WATCH);
+            // The watch of the old service stands until the new one is called.
+            self.desk.list_moved(&mut self.scheduler);
         }
     }
 
@@ -422,9 +425,11 @@
     }
 
     fn news(&mut self, news: &News) {
-        // Changes older than the list are none; a whole list counts whatever its version.
+        // Changes older than the list are none, but say that the call has come through: the scheduler goes by that
+        // when the watch is lost. A whole list counts whatever its version.
         if !news.whole && self.seq.is_some_and(|seq| news.seq <= seq) {
-            return;
+            let none = News { seq: news.seq, whole: false, entries: Vec::new() };
+            return self.desk.listed(&mut self.scheduler, ListForm::Changes, &none);
         }
         self.seq = Some(news.seq);
         self.told |= !news.entries.is_empty();
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -103,8 +103,9 @@
         longest_return: down(limits, "max_retry_after_us"),
         max_submits: num(limits, "max_attempts") as u32,
         list_on_request: v["registry_mode"].as_str() == Some("on_request"),
-        // No settings tell it: a host knows where it serves.
+        // No settings tell these: a host knows where it serves.
         word_by_half: false,
+        ask_turn: None,
         cold_bears: num(extra, "cold_bears"),
         cold_from: num(rules, "cold_from"),
         cold_span: up(rules, "cold_us"),
--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -111,6 +111,8 @@
     pub longest_return: Tick,
     pub max_submits: u32,
     pub list_on_request: bool,
+    /// What a call takes of the list service, as whoever runs it says; 0 spreads calls over a fifth of a second.
+    pub ask_turn: Option<Tick>,
     /// Clients hear in the first half of their time of what was never tried.
     pub word_by_half: bool,
     /// Units that a node just started bears from all hosts within `fall_span`.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -54,10 +54,12 @@
 const SAME_LIMIT: Tick = 5; // ticks: a retry's hard limit differs from the first one's at most by the way
 const LAST_CALL: Tick = 60; // ticks: margin before the hard limit for one tick of the host and the way back
 const RETURN_SPREAD: u64 = 3_000; // ticks: a node that came back meets its hosts spread over this
-const ASK_FIRST: u64 = 2_000; // ticks: hosts that start together ask the list spread over this
-const ASK_MOST: Tick = 80_000; // ticks: the longest wait between failed calls to the list
+const ASK_FIRST: Tick = 2_000; // ticks: hosts that start together ask the list spread over this, at least
+const ASK_TURN: Tick = 300; // ticks: what a call may take of the list service, where no one says it
+const ASK_MOST: Tick = 10_000; // ticks: the longest wait between failed calls of few hosts
+const ASK_MOVED: Tick = 20_000; // ticks: hosts that hear of another service ask it spread over this at most
 const IDLE_VOLUME: Tick = 100_000; // ticks: a volume unseen this long is forgotten, once its store is full
-const GONE_NODE: Tick = 600_000; // ticks: a node closed this long is forgotten; past any outage and hard limit
+const GONE_NODE: Tick = 600_000; // ticks: a node closed this long is forgotten; past outages and hard limits
 
 /// A plan, as far as decisions go: rates are one host's, per tick, for a volume on one host.
 struct Plan {
@@ -191,7 +193,7 @@
 }
 
 impl Slot {
-    /// Until when it may be held. Whoever hears in its first half that nothing was tried can still go elsewhere:
+    /// Until when it may be held. Whoever hears in its first half that nothing was tried can go elsewhere;
     /// later, a client with little time has waited for nothing. Hurts where room comes only just in time.
     fn held_until(&self) -> Tick {
         if self.submits == 0 { self.goal.min(self.half) } else { self.goal }
@@ -261,6 +263,7 @@
     alarms: BinaryHeap<Reverse<(Tick, BioId)>>,
     next_window: Tick,
     ask_at: Tick,
+    ask_span: Tick,
     ask_wait: Tick,
     waking: Tick,
     losing: Tick,
@@ -287,7 +290,10 @@
         };
         let short_goal = terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64;
         let mut pcg = Pcg::new(seed);
-        let ask_at = if terms.list_on_request { now + pcg.below(ASK_FIRST) as Tick } else { Tick::MAX };
+        // All hosts together ask no more than the list service handles, whoever else starts or lost it too.
+        let ask_span = (terms.ask_turn.unwrap_or(ASK_TURN) * Tick::from(terms.hosts)).max(ASK_FIRST);
+        let first = pcg.below(ask_span as u64) as Tick;
+        let ask_at = if terms.list_on_request { now + first } else { Tick::MAX };
         Scheduler {
             plans: terms.plans.iter().map(Plan::of).collect(),
             groups: terms.groups.iter().map(group).collect(),
@@ -318,7 +324,8 @@
             born: now,
             next_window: now + WINDOW,
             ask_at,
-            ask_wait: ASK_FIRST as Tick,
+            ask_span,
+            ask_wait: ask_span,
             waking: Tick::MAX,
             losing: now,
             lat: WIDEN_BELOW * short_goal,
@@ -330,13 +337,15 @@
     /// The node list spoke.
     pub fn listed(&mut self, host: &mut dyn Host, now: Tick, form: ListForm, entries: &[Listed]) {
         if form == ListForm::Failed {
-            // A failed call does not say whether a watch stands: ask again, ever later and spread.
-            self.ask_at = now + self.ask_wait + self.pcg.below(self.ask_wait as u64) as Tick;
-            self.ask_wait = (self.ask_wait * 2).min(ASK_MOST);
+            // A failed call does not say whether a watch stands. Who had one lost it with all others, and
+            // draws its place among them; later calls keep it: all have asked within a span of its return.
+            let drawn = self.pcg.below(self.ask_span as u64) as Tick;
+            self.ask_at = now + if self.ask_wait == 0 { drawn } else { self.ask_wait };
+            self.ask_wait = (self.ask_wait * 2).clamp(self.ask_span, self.ask_span.max(ASK_MOST));
             return self.sleep(host, now);
         }
         if form != ListForm::Kept {
-            self.ask_wait = ASK_FIRST as Tick;
+            self.ask_wait = 0;
         }
         if form != ListForm::Changes {
             self.nodes.iter_mut().for_each(|n| n.open = false);
@@ -375,6 +384,12 @@
         self.sleep(host, now);
     }
 
+    /// The list is had from another service from now on, as all hosts hear at about one time.
+    pub fn list_moved(&mut self, host: &mut dyn Host, now: Tick) {
+        self.ask_at = now + self.pcg.below(self.ask_span.min(ASK_MOVED) as u64) as Tick;
+        self.sleep(host, now);
+    }
+
     /// This host's part of a volume's limit from now on, in units a second; none: the even part.
     pub fn parted(&mut self, now: Tick, id: VolId, part: Option<f64>) {
         let part = part.map(|p| p / SECOND);
@@ -389,9 +404,9 @@
         }
     }
 
-    /// Plans as they stand from now on, and volumes that have another one. What a volume has saved up under the
-    /// old figures stays its own, cut to the new ones at once: a limit that falls holds from this moment on, and
-    /// one that rises is filled from here. Bases and ceilings follow with the next window.
+    /// Plans as they stand from now on, and volumes that have another one. What a volume has saved up under
+    /// the old figures stays its own, cut to the new ones at once: a limit that falls holds from this moment
+    /// on, and one that rises is filled from here. Bases and ceilings follow with the next window.
     pub fn planned(&mut self, now: Tick, plans: &[crate::host::Plan], of: &[(VolId, u16)]) {
         let largest = self.largest;
         for vol in self.volumes.iter_mut() {
--- a/crates/scheduler/tests/fake/mod.rs
+++ b/crates/scheduler/tests/fake/mod.rs
@@ -124,6 +124,19 @@
         story
     }
 
+    /// A host that starts now with this seed, and knows no node.
+    pub fn starting(terms: &Terms, seed: u64) -> Self {
+        let log = Log { now: 100_000, ..Log::default() };
+        let mut story = Story { scheduler: Scheduler::new(terms, seed, log.now), log };
+        story.scheduler.woken(&mut story.log, 100_000);
+        story
+    }
+
+    pub fn moved(&mut self) {
+        let now = self.log.now;
+        self.scheduler.list_moved(&mut self.log, now);
+    }
+
     pub fn list(&mut self, form: ListForm, entries: &[Listed]) {
         let now = self.log.now;
         self.scheduler.listed(&mut self.log, now, form, entries);
