A model of cold starts: up to ten thousand schedulers in simulated time before one list service

The model runs the hosts' own scheduler and conduct's watch against the rig's list service, in an event queue; CSV and SVG by csv and plotters.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod listd;
 pub mod load;
+pub mod model;
 pub mod node;
 pub mod rehearse;
 pub mod script;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::fleet::{play as fleet, processes, scene};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
-use mallowseam_lab::{bench, brute, script, sharesday, snapbench};
+use mallowseam_lab::{bench, brute, model, script, sharesday, snapbench};
 use mallowseam_shares::model::Problem;
 use mallowseam_shares::search::{Answer, solve};
 use std::ffi::OsString;
@@ -40,6 +40,11 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Play a fleet in simulated time: the same schedulers, thousands of them
+    Model {
+        #[command(subcommand)]
+        what: ModelWhat,
+    },
     /// Compare worked-out shares with a plain enumeration on fresh small problems
     SharesCheck {
         #[arg(long, default_value_t = 1)]
@@ -67,6 +72,68 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ModelWhat {
+    /// All hosts start within a second, or after an outage: calls to the list service, paced and as before
+    ColdStart {
+        /// How many hosts, each in turn
+        #[arg(long, value_delimiter = ',', default_value = "10,30,100,300,1000,3000,10000")]
+        hosts: Vec<u32>,
+        /// Milliseconds that a call takes of the list service
+        #[arg(long, default_value_t = 25)]
+        takes: u64,
+        /// Seconds for which the list service is down at first
+        #[arg(long, default_value_t = 0)]
+        down: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A directory for the seconds of each case as CSV, and a sheet of plots
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+}
+
+/// Simulated time after which a case ends.
+const MODEL_MOST: u64 = 3_600_000_000;
+
+fn model_cold_start(
+    hosts: &[u32],
+    (takes, down): (u64, u64),
+    seed: u64,
+    out: Option<&std::path::Path>,
+) -> Result<bool, String> {
+    println!("simulated, seed {seed}, {takes} ms a call, down for {down} s; bound: 1.5 * hosts * {takes} ms");
+    println!(
+        "{:>7}{:>10}{:>8}{:>14}{:>9}{:>11}{:>11}{:>9}",
+        "hosts", "calls", "a host", "most waiting", "away", "95 % s", "last s", "bound s"
+    );
+    let mut good = true;
+    for &n in hosts {
+        let (takes, down) = (takes * 1_000, down * 1_000_000);
+        let case = model::Case { hosts: n, takes, told: None, down, running: false };
+        let paced = model::run(case, seed, MODEL_MOST);
+        let before = model::run(model::Case { told: Some(0), ..case }, seed, MODEL_MOST);
+        let bound = 1.5 * f64::from(n) * takes as f64 / 1e6;
+        for (name, came) in [("paced", &paced), ("before", &before)] {
+            let at = |part| came.fresh_at(part).map_or(f64::NAN, |t| t as f64 / 1e6);
+            println!(
+                "{n:>7}{:>10}{:>8.2}{:>14}{:>9}{:>11.2}{:>11.2}{bound:>9.2}  {name}",
+                came.calls,
+                came.calls as f64 / f64::from(n),
+                came.most_waiting,
+                came.turned_away,
+                at(0.95),
+                at(1.0)
+            );
+        }
+        good &= paced.fresh.len() == n as usize && paced.most_waiting as u64 * takes <= 1_000_000;
+        if let Some(out) = out {
+            model::write(out, &format!("cold-start-{n}"), &[("paced", &paced), ("before", &before)])?;
+        }
+    }
+    Ok(good)
+}
+
 const SCRIPTS: [(&str, &str); 5] = [
     ("bad-day", include_str!("../scripts/bad-day.script")),
     ("month-end", include_str!("../scripts/month-end.script")),
@@ -84,6 +151,9 @@
             }
             None => play(&script, seed, seeds, quiet),
         },
+        What::Model { what: ModelWhat::ColdStart { hosts, takes, down, seed, out } } => {
+            finish(model_cold_start(&hosts, (takes, down), seed, out.as_deref()))
+        }
         What::SharesCheck { seed, count } => shares_check(seed, count),
         What::SharesDay { seed, seeds } => {
             finish(sharesday::run(seed, seeds, &program()).map(|(text, kept)| {
