--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -262,12 +262,14 @@
     draw(&sheet, cases).map_err(|e| failed(&e))
 }
 
+/// What a plot shows of a case, second by second.
+type Series = fn(&Came) -> Vec<f64>;
 type Sheet<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
 
 fn draw(sheet: &Sheet, cases: &[(&str, &Came)]) -> Result<(), String> {
     let text = |e: &dyn std::fmt::Display| e.to_string();
     sheet.fill(&WHITE).map_err(|e| text(&e))?;
-    let plots: [(&str, fn(&Came) -> Vec<f64>); 2] = [
+    let plots: [(&str, Series); 2] = [
         ("calls waiting", |c| c.seconds.iter().map(|s| s.waiting as f64).collect()),
         ("hosts with a list", |c| {
             let mut sum = 0.0;
