A cold node's part goes to hosts that have something to send there, also just after a start

Lines at fault: cold_room in scheduler.rs. A host with a rate at a node sends there by a chance that makes all such hosts together send four fifths of what makes it fall; one without, as every host is after its start, has 1/300 of what it bears, and nearly all of that goes to hosts with nothing to send. A volume works through one to three hosts.

Change: such a host sends by half the same chance, one block I/O in a fall span until the node is warmer. Demand may be twice what the node does before the sum passes the four fifths. Guards against parts dealt to hosts with nothing to send; does harm where far more than twice a node's capacity is asked of it by hosts that are all new to it.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -39,6 +39,7 @@
 const HEARD_KEPT: f64 = 0.9; // a window, of the answers that a mean wait goes by: about the last second's
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: the mean wait that takes a price from nothing to one
 const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall; the rest is for surges and for chance
+const COLD_UNUSED: f64 = 0.5; // of that, for a host with no rate there: demand may be twice what a node does
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
@@ -824,7 +825,8 @@
     /// Units that this host may still send to a node that has just started, and its whole part. The part is
     /// even or goes by what this host sent here when all was well, since all hosts together sent no more than
     /// the node could do. It grows with the slowest warm-up that the terms allow. Smaller than the largest
-    /// block I/O, it goes out whole by a chance drawn for each fall span. Hurts where all surge at a return.
+    /// block I/O, it goes out whole by a chance drawn for each fall span, half of it for a host that never
+    /// sent there: even parts are dealt to hosts with nothing to send. Hurts where all surge at a return.
     fn cold_room(&mut self, now: Tick, at: NodeId) -> (f64, f64) {
         let (fall, node) = (self.cold.fall, &mut self.nodes[at.0]);
         let age = now - node.came_up;
@@ -839,8 +841,9 @@
             if now >= node.cold_turn {
                 (node.cold_turn, node.cold_luck) = (now + fall, self.pcg.part());
             }
-            let flow = self.cold.of_rate * grown / fall as f64;
-            if node.rate > 0.0 && node.cold_luck + f64::from(sent > 0.0) < flow {
+            let used = if node.rate > 0.0 { 1.0 } else { COLD_UNUSED };
+            let flow = self.cold.of_rate * grown / fall as f64 * used;
+            if node.cold_luck + f64::from(sent > 0.0) < flow {
                 part = self.largest;
             } else if sent == 0.0 {
                 part = (part / node.cold_luck).min(self.largest);
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -498,6 +498,36 @@
     assert!(s.log.did.iter().any(|d| matches!(d.1, Did::Sent(_, 2))));
 }
 
+/// Units that hosts without a history send to a cold node within its first fall span: so many of 300, each with a
+/// block I/O of two units for it at a time of its own, and again so often.
+fn sent_cold(askers: u64, again: u32, seed: u64) -> f64 {
+    let terms = Terms { hosts: 300, fall_multiple: 4.0, ..cold_terms() };
+    let one = |host: u64| {
+        let mut s = Story::starting(&terms, 1_000 * seed + host);
+        s.list(ListForm::Whole, &[node(0, NodeState::Active, s.log.now)]);
+        s.pass(3_100 + host as Tick % 7 * 300);
+        for id in 0..again {
+            s.take(s.bio(id));
+            s.pass(100);
+            s.end(id, 0, Ending::Done, 100);
+            s.pass(3_000);
+        }
+        2.0 * s.sent().len() as f64
+    };
+    (0..askers).map(one).sum()
+}
+
+#[test]
+fn hosts_that_have_just_started_send_a_cold_node_what_it_bears_though_most_have_nothing_to_send() {
+    // It bears 24 units; even parts would be 0.08 each. Four hosts ask; each sends one at a time or none.
+    let sums: Vec<f64> = (0..40).map(|seed| sent_cold(4, 3, seed)).collect();
+    let mean = sums.iter().sum::<f64>() / 40.0;
+    assert!(mean > 1.0, "{mean} of 24 asked for");
+    // As many as ask for all that it does when warm, 30 units in that span: chance included, it bears them.
+    let most = (0..200).map(|seed| sent_cold(15, 1, seed)).fold(0.0, f64::max);
+    assert!(most <= 24.0, "{most}");
+}
+
 #[test]
 fn a_host_among_hundreds_sends_whole_block_ios_to_a_cold_node_by_chance() {
     let mut s = Story::new(&Terms { hosts: 160, fall_multiple: 4.0, ..cold_terms() });
