--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -24,7 +24,7 @@
     },
     /// Play a script of trouble through real hosts and judge it by what passed on the sockets
     Rehearse {
-        /// bad-day, month-end, tariff-night, demo, short or cold-start, or a script's file (.fleet: of a fleet)
+        /// bad-day, month-end, tariff-night, demo, short, cold-start or cold-overload, or a script's file (.fleet: of a fleet)
         script: String,
         /// How many hosts a fleet's script is played with, nodes and clients in proportion
         #[arg(long)]
@@ -239,7 +239,10 @@
     Ok(kept)
 }
 
-const FLEETS: [(&str, &str); 1] = [("cold-start", include_str!("../scripts/cold-start.fleet"))];
+const FLEETS: [(&str, &str); 2] = [
+    ("cold-start", include_str!("../scripts/cold-start.fleet")),
+    ("cold-overload", include_str!("../scripts/cold-overload.fleet")),
+];
 
 fn fleet_script(name: &str) -> Option<Result<String, String>> {
     match FLEETS.iter().find(|s| s.0 == name) {
