The cold fleet's story fails where hosts know nothing of cold nodes

Its first form passed with cold_room taken out: twenty hosts' windows alone kept four nodes up. With forty hosts before two nodes that bear 37 units in two seconds both fall without it, and none with it.

--- a/crates/lab/tests/fleet/cold_start.rs
+++ b/crates/lab/tests/fleet/cold_start.rs
@@ -58,9 +58,9 @@
 #[test]
 fn a_cold_fleet_before_cold_nodes_pushes_none_over_though_clients_ask_for_far_more_than_they_do() {
     let cold = [
-        ("hosts 5", "hosts 20"),
-        ("cores 2 work 5ms queue 32", "cores 1 work 20ms queue 32 start-cold"),
-        ("cold 25% 3s 4 1s 60 3s", "cold 25% 8s 4 2s 100 4s"),
+        ("hosts 5", "hosts 40"),
+        ("nodes 3 cores 2 work 5ms queue 32", "nodes 2 cores 1 work 20ms queue 32 start-cold"),
+        ("cold 25% 3s 4 1s 60 3s", "cold 25% 8s 1.5 2s 37 4s"),
         ("rate 60/s posts 30% again 1", "rate 200/s posts 30% again 2 at-once"),
     ];
     let (mut stage, _dir) = stage(&changed(&cold), 4);
@@ -72,5 +72,5 @@
     assert_eq!(outcome.verdict.falls, 0);
     assert!(outcome.most_cold > 0.1 && outcome.most_cold < 1.0, "{}", outcome.most_cold);
     let late = &outcome.verdict.lines[6..8];
-    assert!(late.iter().all(|l| l.served > 20), "and they work: {late:?}");
+    assert!(late.iter().all(|l| l.served > 10), "and they work: {late:?}");
 }
