One reader of nodes and cold, one wording of evidence, for both kinds of scripts

Read once more. The fleet's scripts read cores, work, queue and cold in a copy of script.rs, and its audit worded times and broken rules in a copy of audit.rs: both now call the older piece. Gone as nobody read it: whether a call was asked, the units of an open submit, a broken connection's time in the audit, the list's version in an outcome, a close under a second name. A start kills by the same call as a kill.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -132,10 +132,7 @@
 
     /// Lines of evidence, a few for each rule.
     pub fn evidence(&self) -> Vec<String> {
-        let mut out = Vec::new();
-        for (rule, lines) in RULES.iter().zip(&self.broken) {
-            out.extend(lines.iter().take(EVIDENCE_MOST).map(|l| format!("broken: {rule}: {l}")));
-        }
+        let mut out = broken_rules(&self.broken);
         out.extend(self.wrong.iter().take(EVIDENCE_MOST).map(|l| format!("bytes wrong: {l}")));
         out.extend(self.inexact.iter().take(EVIDENCE_MOST).map(|l| format!("snapshot: {l}")));
         out
@@ -153,7 +150,16 @@
     }
 }
 
-fn seconds(at: Micros) -> String {
+/// A few lines of evidence for each rule that was broken.
+pub(crate) fn broken_rules(broken: &[Vec<String>; 7]) -> Vec<String> {
+    let line = |rule: &str, l: &String| format!("broken: {rule}: {l}");
+    let of = |(rule, lines): (_, &Vec<String>)| -> Vec<String> {
+        lines.iter().take(EVIDENCE_MOST).map(|l| line(rule, l)).collect()
+    };
+    RULES.into_iter().zip(broken).flat_map(of).collect()
+}
+
+pub(crate) fn seconds(at: Micros) -> String {
     format!("{}.{:03} s", at / 1_000_000, at / 1000 % 1000)
 }
 
--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -2,7 +2,7 @@
 //! start. Knows nothing of the program's insides.
 use super::record::{End, Seen, What};
 use super::scene::{self, Scene};
-use crate::audit::{RULES, SLACK};
+use crate::audit::{SLACK, broken_rules, seconds};
 use crate::trace::Micros;
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -14,7 +14,6 @@
 const ORDER_SLACK: Micros = 50_000;
 /// Part of a cold node's load that must come from hosts that knew, for its fall to count (the users' page).
 const KNEW: f64 = 2.0 / 3.0;
-const EVIDENCE_MOST: usize = 5;
 /// The time line's step.
 const STEP: Micros = 1_000_000;
 
@@ -31,7 +30,6 @@
     wait: Micros,
     answers: Vec<(Micros, u16, bool)>,
     left: Option<Micros>,
-    broken: Option<Micros>,
     excused: bool,
     subs: Vec<Sub>,
 }
@@ -90,11 +88,7 @@
     }
 
     pub fn evidence(&self) -> Vec<String> {
-        let mut out = Vec::new();
-        for (rule, lines) in RULES.iter().zip(&self.broken) {
-            out.extend(lines.iter().take(EVIDENCE_MOST).map(|l| format!("broken: {rule}: {l}")));
-        }
-        out
+        broken_rules(&self.broken)
     }
 
     /// After how long so many in 100 of the starts had a fresh list; none: they had not.
@@ -119,10 +113,6 @@
     }
 }
 
-fn seconds(at: Micros) -> String {
-    format!("{}.{:03} s", at / 1_000_000, at / 1_000 % 1_000)
-}
-
 /// Judges a run. `busy`: what a busy machine may have added to any wait, as the run measured it.
 pub fn judge(scene: &Scene, seen: &[Seen], busy: Micros) -> Verdict {
     let mut audit = Audit {
@@ -179,7 +169,6 @@
                     self.op(op, |o| o.answers.push((at, status, made)));
                 }
                 What::Left { op } => self.op(op, |o| o.left = Some(at)),
-                What::Broken { op } => self.op(op, |o| o.broken = Some(at)),
                 What::Excused { op } => self.op(op, |o| o.excused = true),
                 What::NoHost { .. } => self.verdict.no_host += 1,
                 What::Got { node, host, op, .. } => {
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -31,7 +31,6 @@
     pub uses: Vec<Use>,
     /// The longest that a turn of the stand-ins was late.
     pub late: Micros,
-    pub version: u64,
     pub watching: usize,
     /// The most that came to a cold node, as part of what it bore.
     pub most_cold: f64,
@@ -178,9 +177,7 @@
 
     pub fn start(&mut self, host: u32) -> Result<(), String> {
         let text = self.world.config(host, self.lists[host as usize], self.seeds.random());
-        if self.fleet.running(host) {
-            self.down(host, End::Killed);
-        }
+        self.kill(host);
         self.fleet.start(host, &text)?;
         self.told[host as usize] = None;
         self.world.host_up(host);
@@ -333,7 +330,6 @@
             seen,
             uses,
             late: self.late,
-            version: self.world.version(),
             watching,
             most_cold: colds.fold(0.0, f64::max),
             crashed: self.crashed,
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -5,6 +5,7 @@
 use super::store::Manners;
 use super::turns::Mood;
 use crate::node::Model;
+use crate::script;
 use crate::trace::Micros;
 use mallowseam_settings::lines::{Args, At, Problems, words};
 
@@ -177,11 +178,7 @@
             scene.manners.handshake = args.duration("the work of a new connection").unwrap_or(0);
         }
         "cold" => {
-            scene.model.cold_from = args.percent("a percentage").unwrap_or(1.0).max(0.01);
-            scene.model.cold_span = args.duration(SPAN).unwrap_or(0);
-            scene.model.fall_multiple = args.number("a multiple from 1 up", 1.0, 1e6).unwrap_or(1.0);
-            scene.model.fall_span = args.duration(SPAN).unwrap_or(0);
-            scene.model.cold_bears = args.number("units", 0.0, 1e9).unwrap_or(0.0);
+            script::cold(&mut scene.model, args);
             scene.manners.down = args.duration("how long one that fell is down").unwrap_or(0);
         }
         "clients" => clients(scene, args),
@@ -207,15 +204,9 @@
 fn nodes(scene: &mut Scene, args: &mut Args) {
     scene.nodes = args.whole("1 to 500", 1, 500).unwrap_or(1) as u32;
     while args.more() {
-        if args.literal("cores") {
-            scene.model.cores = args.whole("1 to 64", 1, 64).unwrap_or(1) as usize;
-        } else if args.literal("work") {
-            scene.model.unit_work = args.duration("the work of a unit").unwrap_or(0) as f64;
-        } else if args.literal("queue") {
-            scene.model.queue = args.whole("1 to 4096", 1, 4_096).unwrap_or(1) as usize;
-        } else if args.literal("start-cold") {
+        if args.literal("start-cold") {
             scene.cold_nodes = true;
-        } else {
+        } else if !script::node_figure(&mut scene.model, args) {
             args.value::<()>("cores, work, queue or start-cold", |_| None);
         }
     }
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -91,9 +91,9 @@
 /// What a connection carries.
 enum Carries {
     /// From a host to a list service.
-    Call { list: u32, reader: RequestReader, watches: bool, asked: bool },
+    Call { list: u32, reader: RequestReader, watches: bool },
     /// From a host to a node.
-    Line { node: u32, reader: RequestReader, open: Option<(u64, u32)>, fresh: bool, excess: bool },
+    Line { node: u32, reader: RequestReader, open: Option<u64>, fresh: bool, excess: bool },
     /// From clients to a host.
     Client { reader: AnswerReader, asked: Option<Op> },
     /// A question whether a host is ready.
@@ -377,7 +377,7 @@
                 Out::End | Out::Nothing => moved = false,
             }
             if wire::push(&mut conn.socket, &mut conn.out).is_err() {
-                return self.lost(at);
+                return self.close(at, false);
             }
             match conn.inward.take(now, &inward) {
                 Out::Bytes(bytes) => {
@@ -386,7 +386,7 @@
                     moved = true;
                 }
                 Out::Reset => return self.close(at, true),
-                Out::End => return self.lost(at),
+                Out::End => return self.close(at, false),
                 Out::Nothing => {}
             }
             let Some(conn) = self.conns.get_mut(at).filter(|c| c.serial == serial) else { return };
@@ -426,10 +426,6 @@
     }
 
     /// A connection is over: by the host, or because a party or the way ends it.
-    fn lost(&mut self, at: u32) {
-        self.close(at, false);
-    }
-
     fn close(&mut self, at: u32, reset: bool) {
         let Some(mut conn) = self.conns.take(at) else { return };
         let _ = self.poll.registry().deregister(&mut conn.socket);
@@ -443,7 +439,7 @@
                 let store = &mut self.stores[node as usize];
                 store.lines = store.lines.saturating_sub(1);
                 store.gone(id);
-                if let Some((op, _)) = open {
+                if let Some(op) = open {
                     self.note(What::Cut { node, op });
                 }
             }
--- a/crates/lab/src/fleet/world/doors.rs
+++ b/crates/lab/src/fleet/world/doors.rs
@@ -80,11 +80,7 @@
                     self.read(at);
                 }
                 Party::List(list) => {
-                    let at = self.enter(
-                        host,
-                        socket,
-                        Carries::Call { list, reader, watches: false, asked: false },
-                    );
+                    let at = self.enter(host, socket, Carries::Call { list, reader, watches: false });
                     self.read(at);
                 }
                 _ => {}
--- a/crates/lab/src/fleet/world/listing.rs
+++ b/crates/lab/src/fleet/world/listing.rs
@@ -8,8 +8,8 @@
         let now = self.now();
         let Some(conn) = self.conns.get_mut(at) else { return };
         let (id, host) = ((at, conn.serial), conn.host);
-        let Carries::Call { list, watches, asked, .. } = &mut conn.carries else { return };
-        (*watches, *asked) = (follows, true);
+        let Carries::Call { list, watches, .. } = &mut conn.carries else { return };
+        *watches = follows;
         conn.buffer = head.target.as_bytes().to_vec();
         let turns = &mut self.turns[*list as usize];
         let handled = turns.call(now, id, &mut self.rng);
--- a/crates/lab/src/fleet/world/nodes.rs
+++ b/crates/lab/src/fleet/world/nodes.rs
@@ -83,7 +83,7 @@
         let (id, host) = ((at, conn.serial), conn.host);
         let Carries::Line { node, open, fresh, excess, .. } = &mut conn.carries else { return };
         let (node, first, excess) = (*node, std::mem::take(fresh), *excess);
-        *open = Some((op, units));
+        *open = Some(op);
         self.note(What::Got { node, host, op, units, write });
         let job = Job { from: id, op, units: f64::from(units), first, excess };
         match self.stores[node as usize].got(now, job) {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -154,24 +154,12 @@
         "nodes" => {
             scene.nodes = args.whole("1 to 64", 1, 64).unwrap_or(1) as u32;
             while args.more() {
-                if args.literal("cores") {
-                    scene.model.cores = args.whole("1 to 64", 1, 64).unwrap_or(1) as usize;
-                } else if args.literal("work") {
-                    scene.model.unit_work = args.duration("the work of a unit").unwrap_or(0) as f64;
-                } else if args.literal("queue") {
-                    scene.model.queue = args.whole("1 to 4096", 1, 4096).unwrap_or(1) as usize;
-                } else {
+                if !node_figure(&mut scene.model, args) {
                     args.value::<()>("cores, work or queue", |_| None);
                 }
             }
         }
-        "cold" => {
-            scene.model.cold_from = args.percent("a percentage").unwrap_or(1.0).max(0.01);
-            scene.model.cold_span = args.duration(span).unwrap_or(0);
-            scene.model.fall_multiple = args.number("a multiple from 1 up", 1.0, 1e6).unwrap_or(1.0);
-            scene.model.fall_span = args.duration(span).unwrap_or(0);
-            scene.model.cold_bears = args.number("units", 0.0, 1e9).unwrap_or(0.0);
-        }
+        "cold" => cold(&mut scene.model, args),
         "clients" => {
             scene.clients = args.whole("1 to 1000", 1, 1000).unwrap_or(1) as u32;
             while args.more() {
@@ -217,6 +205,30 @@
     true
 }
 
+/// One of the figures behind `nodes`; whether the next word names one.
+pub fn node_figure(model: &mut Model, args: &mut Args) -> bool {
+    if args.literal("cores") {
+        model.cores = args.whole("1 to 64", 1, 64).unwrap_or(1) as usize;
+    } else if args.literal("work") {
+        model.unit_work = args.duration("the work of a unit").unwrap_or(0) as f64;
+    } else if args.literal("queue") {
+        model.queue = args.whole("1 to 4096", 1, 4096).unwrap_or(1) as usize;
+    } else {
+        return false;
+    }
+    true
+}
+
+/// What stands behind `cold`: part of the speed, time until warm, and what makes a node fall.
+pub fn cold(model: &mut Model, args: &mut Args) {
+    let span = "a duration such as 3s";
+    model.cold_from = args.percent("a percentage").unwrap_or(1.0).max(0.01);
+    model.cold_span = args.duration(span).unwrap_or(0);
+    model.fall_multiple = args.number("a multiple from 1 up", 1.0, 1e6).unwrap_or(1.0);
+    model.fall_span = args.duration(span).unwrap_or(0);
+    model.cold_bears = args.number("units", 0.0, 1e9).unwrap_or(0.0);
+}
+
 type Begun = (Micros, Trouble, Option<(Micros, Trouble)>);
 
 fn event(args: &mut Args) -> Option<Begun> {
