A host just started sends cold nodes as large a part as warm ones take of what it asks

What the half stands for is how much more is asked of a node than it does; that can be known: by what warm nodes take of it. Line at fault: COLD_UNUSED as a constant in cold_room.

Change: a host counts first submits to warm nodes and what it was asked there and gave up unsent (limits apart), over ten seconds. Half where it knows nothing. Harm: where a cold node is asked for far more than warm ones are, for its shard.

--- a/crates/lab/src/fleet/audit.rs
+++ b/crates/lab/src/fleet/audit.rs
@@ -47,6 +47,9 @@
     cut: Option<Micros>,
 }
 
+/// When a word was written, and of which version of the list it was.
+type Words = Vec<(Micros, u64)>;
+
 /// What a second of a run showed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Step {
@@ -311,7 +314,7 @@
         // By host and node: when it was told that the node is shut, until it was told otherwise.
         let mut shut: BTreeMap<(u32, u32), Vec<(Micros, bool)>> = BTreeMap::new();
         // When a host was written a word on a node, or all that it lacked, and of which version.
-        let mut written: BTreeMap<(u32, Option<u32>), Vec<(Micros, u64)>> = BTreeMap::new();
+        let mut written: BTreeMap<(u32, Option<u32>), Words> = BTreeMap::new();
         for Seen { at, what } in seen {
             match *what {
                 What::Told { host, node, open, seq, .. } => {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -40,6 +40,8 @@
 const PRICE_SPAN: f64 = 0.4; // of the shortest goal: the mean wait that takes a price from nothing to one
 const COLD_SAFE: f64 = 0.8; // of what makes a cold node fall; the rest is for surges and for chance
 const COLD_UNUSED: f64 = 0.5; // of that, for a host with no rate there: demand may be twice what a node does
+const WARM_PRIOR: f64 = 4.0; // block I/Os: what a host must be asked at warm nodes to know better than that
+const WARM_KEPT: f64 = 0.99; // a window, of what it was asked there: the last ten seconds'
 const RATE_STEP: f64 = 0.01; // weight of one window in what a host sends to a node: ten seconds' worth
 const LAT_ALL: f64 = 0.05; // weight of one answer in the mean wait over all nodes
 const BEST_RISES: f64 = 1.0005; // an answer, of the least mean over all nodes: a tenth in a minute
@@ -179,6 +181,11 @@
         self.shares.iter().position(|s| s.vol == vol).expect("placed")
     }
 
+    /// Whether it has long been up, or started so long ago that it does all it can.
+    fn warm(&self, now: Tick, span: Tick) -> bool {
+        self.came_up == 0 || now > self.came_up + span
+    }
+
     /// How long a submit may take here before it counts as lost.
     fn patience(&self, goal: f64) -> Tick {
         (self.lat * LOST).max(goal * LOST_GOAL) as Tick
@@ -274,6 +281,8 @@
     best: f64,
     price: f64,
     pumps: u64,
+    /// Block I/Os that warm nodes were sent, and those that were asked of them.
+    warm: (f64, f64),
 }
 
 impl Scheduler {
@@ -559,6 +568,7 @@
         let turn = now >= self.next_window;
         if turn {
             self.next_window = now + WINDOW;
+            self.warm = (self.warm.0 * WARM_KEPT, self.warm.1 * WARM_KEPT);
             self.tidy(host, now);
         }
         self.pump_all(host, now, turn);
@@ -685,8 +695,7 @@
         }
         // What goes to the node while it is well, for the day when it comes back cold.
         let rate = std::mem::take(&mut node.units) / WINDOW as f64;
-        let warm = node.came_up == 0 || now > node.came_up + self.cold.span;
-        if node.lat < target && node.failures == 0 && warm {
+        if node.lat < target && node.failures == 0 && node.warm(now, self.cold.span) {
             let young = WINDOW as f64 / (now - self.born).max(WINDOW) as f64;
             node.rate += (rate - node.rate) * young.max(RATE_STEP);
         }
@@ -848,7 +857,9 @@
             if now >= node.cold_turn {
                 (node.cold_turn, node.cold_luck) = (now + fall, self.pcg.part());
             }
-            let used = if node.rate > 0.0 { 1.0 } else { COLD_UNUSED };
+            let (went, asked) = self.warm;
+            let known = (went + COLD_UNUSED * WARM_PRIOR) / (asked + WARM_PRIOR);
+            let used = if node.rate > 0.0 { 1.0 } else { known };
             let flow = self.cold.of_rate * grown / fall as f64 * used;
             if node.cold_luck + f64::from(sent > 0.0) < flow {
                 part = self.largest;
@@ -902,6 +913,8 @@
         let units = slot.bio.units;
         if slot.submits > 0 {
             self.further.add(now, 1.0);
+        } else if self.nodes[at.0].warm(now, self.cold.span) {
+            self.warm = (self.warm.0 + 1.0, self.warm.1 + 1.0);
         }
         slot.submits += 1;
         slot.out = true;
@@ -1055,6 +1068,10 @@
     /// The final answer of what will not be served, at once.
     fn give_up(&mut self, host: &mut dyn Host, now: Tick, id: BioId) {
         let slot = &self.slots[id.0];
+        let at_warm = |at: NodeId| self.nodes[at.0].warm(now, self.cold.span) && self.may_send(slot, now, at);
+        if slot.submits == 0 && slot.node.is_some_and(at_warm) {
+            self.warm.1 += 1.0;
+        }
         self.turned.push((slot.bio.hard_limit, slot.bio.vol, slot.goal));
         let (vol, group) = (&mut self.volumes[slot.bio.vol.0], &self.groups[slot.bio.group as usize]);
         if group.lacks == 0.0 && !slot.drew && vol.store < slot.bio.units {
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -558,6 +558,36 @@
     assert!(most <= 24.0, "{most}");
 }
 
+#[test]
+fn a_host_just_started_sends_a_cold_node_the_more_the_more_of_what_it_is_asked_warm_ones_take() {
+    let terms = Terms { hosts: 300, fall_multiple: 4.0, ..cold_terms() };
+    // So many of 400 send their one block I/O to the cold node, asked before of the warm one that answers or does not.
+    let sent = |asked: u32, answers: bool| {
+        let one = |seed| {
+            let mut s = Story::starting(&terms, seed);
+            let up = s.log.now;
+            s.list(ListForm::Whole, &[node(0, NodeState::Active, up), node(1, NodeState::Active, 0)]);
+            s.pass(3_100);
+            for id in 1..=asked {
+                s.take(Bio { shard: Some(1), vol: VolId(1), ..s.bio(id) });
+                s.pass(100);
+                if answers {
+                    s.end(id, 1, Ending::Done, 100);
+                }
+            }
+            s.pass(6_000);
+            s.take(s.bio(0));
+            s.sent().contains(&0)
+        };
+        (0..400).filter(|seed| one(*seed)).count()
+    };
+    let (unknown, taken, refused) = (sent(0, true), sent(20, true), sent(20, false));
+    // By the whole chance 0.8 * 4 * 0.2, by half of it, and by a tenth.
+    assert!((200..=300).contains(&taken), "{taken}");
+    assert!((90..=165).contains(&unknown), "{unknown}");
+    assert!(refused < 80, "{refused}");
+}
+
 #[test]
 fn a_host_among_hundreds_sends_whole_block_ios_to_a_cold_node_by_chance() {
     let mut s = Story::new(&Terms { hosts: 160, fall_multiple: 4.0, ..cold_terms() });
