--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -90,6 +90,8 @@
     },
     /// Read a configuration and name all its problems
     Check { file: PathBuf },
+    /// Show the view that a running host has of its fleet
+    Fleet(crate::fleet::Options),
     /// Tell what a running host is doing
     Status {
         #[command(flatten)]
@@ -410,6 +412,7 @@
                 site.groups.len()
             );
         }),
+        What::Fleet(options) => crate::fleet::run(&options).map_err(|e| (FAILED, e)),
         What::Status { at, json } => tell(&at, "status").and_then(|text| {
             if json {
                 println!("{text}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod desk;
 mod figures;
+mod fleet;
 mod follow;
 mod lines;
 mod list;
--- a/crates/lab/src/fleet/links.rs
+++ b/crates/lab/src/fleet/links.rs
@@ -64,6 +64,9 @@
     pub rate: f64,
     /// A connection is reset once so many bytes have passed; 0: never.
     pub cut_after: u64,
+    /// Parts of datagrams that are lost, and that come twice.
+    pub loss: f64,
+    pub repeats: f64,
 }
 
 /// The faults in force. A later one hides those before it.
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -39,9 +39,19 @@
     pub lag: Micros,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// Whether hosts keep a view of their fleet, and how.
+    pub view: Option<ViewScene>,
     pub events: Vec<Event>,
 }
 
+/// How hosts keep a view: the period, how many of them are seeds, and how long one out of reach is kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ViewScene {
+    pub period: Micros,
+    pub seeds: u32,
+    pub keep: Micros,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Event {
     pub at: Micros,
@@ -104,6 +114,7 @@
         lag: 0,
         memory_mb: 32,
         sockets: 256,
+        view: None,
         events: Vec::new(),
     };
     for (i, line) in text.lines().enumerate() {
@@ -114,7 +125,7 @@
         if head(&mut scene, &name, &mut args) {
             args.end();
         } else {
-            let known = "day, hosts, limits, zones, nodes, lines, cold, clients, list or at";
+            let known = "day, hosts, limits, zones, nodes, lines, cold, clients, list, view or at";
             problems.add(at, known, format!("`{name}`"));
         }
     }
@@ -197,6 +208,21 @@
                 }
             }
         }
+        "view" => {
+            let mut view = ViewScene { period: 1_000_000, seeds: 3, keep: 3_600_000_000 };
+            while args.more() {
+                if args.literal("period") {
+                    view.period = args.duration(SPAN).unwrap_or(view.period);
+                } else if args.literal("seeds") {
+                    view.seeds = args.whole("hosts that are seeds", 1, 32).unwrap_or(1) as u32;
+                } else if args.literal("keep") {
+                    view.keep = args.duration(SPAN).unwrap_or(view.keep);
+                } else {
+                    args.value::<()>("period, seeds or keep", |_| None);
+                }
+            }
+            scene.view = Some(view);
+        }
         "at" => drop(event(&mut scene.events, args)),
         _ => return false,
     }
@@ -292,6 +318,10 @@
             fault.spread = args.duration(SPAN)?;
         } else if args.literal("bytes") {
             fault.rate = args.rate("bytes a second such as 9000/s")?;
+        } else if args.literal("loss") {
+            fault.loss = args.percent("a percentage")?;
+        } else if args.literal("repeats") {
+            fault.repeats = args.percent("a percentage")?;
         } else if args.literal("cut-after") {
             fault.cut_after = args.whole("bytes", 1, 1 << 40)?;
         } else {
@@ -299,7 +329,7 @@
         }
     }
     if fault == Fault::default() {
-        args.value::<()>("silent, refused, slow, spread, bytes or cut-after", |_| None);
+        args.value::<()>("silent, refused, slow, spread, bytes, loss, repeats or cut-after", |_| None);
         return None;
     }
     let mut set = vec![(from, to, fault)];
@@ -382,7 +412,7 @@
 /// A host's configuration in the users' form.
 pub fn config(
     scene: &Scene,
-    host: u32,
+    (host, named): (u32, u32),
     addresses: super::world::Addresses,
     list: u32,
     seed: u64,
@@ -411,9 +441,18 @@
                   "look_back_us": BUDGET.2 * 1_000, "cold_from": m.cold_from, "cold_us": m.cold_span,
                   "fall_multiple": m.fall_multiple, "fall_us": m.fall_span},
     });
+    let view = scene.view.map_or("null".into(), |v| {
+        let seeds: Vec<String> = (0..v.seeds.min(scene.hosts)).map(|h| addresses.way(h).to_string()).collect();
+        serde_json::json!({
+            "name": "rig", "listen": addresses.fleet(host).to_string(), "reached_at": addresses.way(host).to_string(),
+            "zone": format!("z{}", host % scene.zones), "seeds": seeds, "period_ms": v.period / 1_000,
+            "keep_s": v.keep / 1_000_000,
+        })
+    });
+    let view = if scene.view.is_some() { format!(",\"fleet\":{view}") } else { String::new() };
     format!(
-        "{{\"name\":\"n{host}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
-         \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{known},\"settings\":{settings}}}",
+        "{{\"name\":\"n{named}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{known},\"settings\":{settings}{view}}}",
         addresses.host(host),
         addresses.list(host, list),
         scene.memory_mb,
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -4,6 +4,7 @@
 mod doors;
 mod listing;
 mod nodes;
+mod ways;
 
 use super::callers::{Callers, Op};
 use super::links::{Fault, Links, Opening, Out, Party, Pipe, Side};
@@ -28,6 +29,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub use ways::{Viewed, Ways};
+
 const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 1 << 20 };
 const EVENTS: usize = 1_024;
 const SCRATCH: usize = 64 * 1024;
@@ -135,6 +138,8 @@
     Sign,
     /// News that the service tells now.
     News,
+    /// A datagram between hosts comes in.
+    Datagram(u32),
 }
 
 /// A call's connection.
@@ -166,6 +171,10 @@
     stalled: Vec<bool>,
     idle: BTreeMap<u32, Vec<u32>>,
     ways: BTreeMap<u64, u32>,
+    /// Between hosts, by datagrams.
+    pub ways_udp: Ways,
+    /// Whose name each host is given: its own, but where a story has two of one name.
+    pub names: Vec<u32>,
     pub seen: Vec<Seen>,
     rng: Pcg64Mcg,
     scratch: Vec<u8>,
@@ -206,6 +215,8 @@
             stalled: vec![false; scene.hosts as usize],
             idle: BTreeMap::new(),
             ways: BTreeMap::new(),
+            ways_udp: Ways::default(),
+            names: (0..scene.hosts).collect(),
             seen: Vec::new(),
             rng,
             scratch: vec![0; SCRATCH],
@@ -220,6 +231,9 @@
         for shard in 0..shards {
             world.add_node(shard, scene.cold_nodes)?;
         }
+        if scene.view.is_some() {
+            world.open_ways()?;
+        }
         world.due.push(Reverse((SIGN, Due::Sign)));
         Ok(world)
     }
@@ -515,6 +529,10 @@
         }
         for event in &events {
             let Token(token) = event.token();
+            if token >= ways::TOKENS {
+                self.datagrams(token - ways::TOKENS);
+                continue;
+            }
             match token % 2 {
                 0 => self.accept(token / 2),
                 _ => self.read((token / 2) as u32),
@@ -549,6 +567,7 @@
                     }
                     self.due.push(Reverse((now + SIGN, Due::Sign)));
                 }
+                Due::Datagram(place) => self.arrives(place),
                 Due::News => {
                     self.set_doors();
                     self.tell_news();
--- a/crates/lab/src/fleet/world/listing.rs
+++ b/crates/lab/src/fleet/world/listing.rs
@@ -209,6 +209,13 @@
                 if gone { text.replace("node0\"", "node-of-old\"") } else { text }
             }
         };
-        crate::fleet::scene::config(&self.scene, host, self.addresses, list, seed, &known)
+        crate::fleet::scene::config(
+            &self.scene,
+            (host, self.names[host as usize]),
+            self.addresses,
+            list,
+            seed,
+            &known,
+        )
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod sharesday;
 pub mod snapbench;
 pub mod trace;
+pub mod view;
 
 pub use mallowseam_gateway::client as counter;
--- a/crates/lab/tests/fleet/main.rs
+++ b/crates/lab/tests/fleet/main.rs
@@ -3,3 +3,4 @@
 mod rules;
 mod stage;
 mod storms;
+mod view;
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -5,6 +5,8 @@
 use crate::nodes::Nodes;
 use mallowseam_conduct::front::{Doing, Leaving};
 use mallowseam_conduct::parting::{self, Keep};
+use mallowseam_fleet::word::Facts;
+use mallowseam_fleet_udp::Part;
 use mallowseam_platform::config::{self, Config};
 use mallowseam_platform::list::News;
 use mallowseam_scheduler::host::{Host, ListForm, NodeId, Tick};
@@ -22,6 +24,7 @@
 const WATCH: Token = Token(3);
 const FETCH: Token = Token(4);
 const INT: Token = Token(5);
+const FLEET: Token = Token(6);
 const CALLERS: usize = 8;
 /// Bytes read from a socket in one go.
 const SCRATCH: usize = 128 * 1024;
@@ -71,6 +74,9 @@
     hup: UnixStream,
     watch: Option<Call>,
     fetch: Option<Call>,
+    /// Its part in the fleet's view, where the configuration names one, and whether that has more to read.
+    part: Option<Box<Part>>,
+    part_more: bool,
     /// The version of the list, once one was told.
     seq: Option<u64>,
     told: bool,
@@ -105,6 +111,9 @@
         host.desk.heard = host.looks.heard(from, host.clock.now());
         host.round(&events);
     }
+    if let Some(part) = &mut host.part {
+        part.leave(true);
+    }
     tracing::info!("host ends");
     Ok(())
 }
@@ -135,6 +144,8 @@
         // On the platform the list is always asked for, and a late word on what was never tried costs three tenths.
         named.terms.list_on_request = true;
         named.terms.word_by_half = true;
+        let opened = |place| Part::open(poll.registry(), FLEET, place).map(Box::new);
+        let part = config.place.clone().map(opened).transpose().map_err(failure("the fleet's view"))?;
         let keep = Keep::new(millis(named.idle_close), millis(now));
         let clients = Clients::new(registry()?, client_token, parting.clients, parting.client_bytes);
         let nodes = Nodes::new(
@@ -172,6 +183,8 @@
             hup,
             watch: None,
             fetch: None,
+            part,
+            part_more: false,
             seq: None,
             told: false,
             leaving: None,
@@ -208,22 +221,26 @@
     }
 
     fn wait(&self) -> std::time::Duration {
-        if self.accepting || !self.desk.clients.turns.is_empty() {
+        if self.accepting || self.part_more || !self.desk.clients.turns.is_empty() {
             return std::time::Duration::ZERO;
         }
         let mut due = self.looked + LOOK;
         for at in [self.desk.wake_at, self.desk.nodes.next_timer()].into_iter().flatten() {
             due = due.min(at);
         }
-        span(due - self.clock.now())
+        let due = span(due - self.clock.now());
+        self.part.as_ref().map_or(due, |p| due.min(std::time::Duration::from_millis(p.due())))
     }
 
     /// One round: the list and the nodes are heard ahead of new work of clients, and time-outs count only what
     /// had not come by now.
     fn round(&mut self, events: &Events) {
         self.tick();
+        // Time first: a host that was stopped must not take what has come since for late.
+        self.part.iter_mut().for_each(|p| p.tick());
         for event in events {
             match event.token() {
+                FLEET => self.part_more = true,
                 WATCH => self.hear(WATCH),
                 FETCH => self.hear(FETCH),
                 HUP if drain(&mut self.hup) => self.reload(),
@@ -263,6 +280,9 @@
             self.accept();
         }
         self.turns(ROUND);
+        if let Some(part) = self.part.as_mut().filter(|_| self.part_more) {
+            self.part_more = part.heard();
+        }
         self.finish();
     }
 
@@ -355,6 +375,7 @@
         if self.leaving.is_none() {
             tracing::info!(clients = self.desk.clients.len(), in_hand = self.desk.in_hand(), "told to end");
             self.leaving = Some(leaving);
+            self.part.iter_mut().for_each(|p| p.leave(false));
             self.desk.clients.leaving = self.leaving;
         }
     }
@@ -374,6 +395,11 @@
         } else {
             tracing::warn!("other I/O groups or plans need a new start");
         }
+        match (&mut self.part, config.place) {
+            (None, None) => {}
+            (Some(part), place) => part.reload(place),
+            (None, Some(_)) => tracing::warn!("a place in the fleet's view needs a new start"),
+        }
         let moved = config.discovery != self.config.discovery;
         tracing::info!(discovery = %config.discovery, moved, "the configuration is taken");
         self.config.discovery = config.discovery;
@@ -435,6 +461,7 @@
             return self.desk.listed(&mut self.scheduler, ListForm::Changes, &none);
         }
         self.seq = Some(news.seq);
+        self.part.iter_mut().for_each(|p| p.facts(Facts { list: news.seq, plans: 0 }));
         self.told |= !news.entries.is_empty();
         let form = if news.whole { ListForm::Whole } else { ListForm::Changes };
         self.desk.listed(&mut self.scheduler, form, news);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: what a host is told at its start, and again by SIGHUP.
 use crate::list::{self, News};
 use crate::settings::{self, Named};
+use mallowseam_fleet::settings::{Place, Written};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -21,6 +22,8 @@
     /// The list as this host last had it.
     pub known: Option<News>,
     pub named: Named,
+    /// Its place in the view that the fleet keeps of itself; none: it takes no part.
+    pub place: Option<Place>,
 }
 
 /// All that is wrong with a configuration, each with its field.
@@ -57,6 +60,53 @@
     }
 }
 
+impl Reader {
+    /// A host's place in its fleet's view: an object with `name` and `listen`, and what else is told.
+    fn place(&mut self, v: &Value, host: &str) -> Option<Place> {
+        const FIELDS: [&str; 7] = ["name", "listen", "reached_at", "zone", "seeds", "period_ms", "keep_s"];
+        let Some(object) = v.as_object() else {
+            return self.take("fleet", Err("expected an object".into()));
+        };
+        let known = self.0.len();
+        for field in object.keys().filter(|f| !FIELDS.contains(&f.as_str())) {
+            self.0.push(format!("fleet.{field}: expected one of {}", FIELDS.join(", ")));
+        }
+        let mut wrong = |field: &str, what: &str| self.0.push(format!("fleet.{field}: expected {what}"));
+        let mut address = |field: &str, v: &Value| {
+            let address = v.as_str().and_then(|t| t.parse().ok());
+            if address.is_none() && !v.is_null() {
+                wrong(field, "address:port");
+            }
+            address
+        };
+        let listen = address("listen", &v["listen"]);
+        let reached_at = address("reached_at", &v["reached_at"]);
+        let seeds = match &v["seeds"] {
+            Value::Null => Vec::new(),
+            Value::Array(all) => all.iter().filter_map(|s| address("seeds", s)).collect(),
+            _ => address("seeds", &Value::Bool(false)).into_iter().collect(),
+        };
+        let mut span = |field: &str, unit: u64| {
+            let span = v[field].as_u64();
+            if span.is_none() && !v[field].is_null() {
+                wrong(field, "a whole number");
+            }
+            span.map(|n| n.saturating_mul(unit))
+        };
+        let (period, keep) = (span("period_ms", 1), span("keep_s", 1_000));
+        let text = |field: &str| v[field].as_str().unwrap_or_default().to_owned();
+        let (fleet, host, zone) = (text("name"), host.to_owned(), text("zone"));
+        let written = Written { fleet, host, listen, reached_at, zone, seeds, period, keep };
+        match written.check() {
+            Ok(place) => (self.0.len() == known).then_some(place),
+            Err(all) => {
+                self.0.extend(all.into_iter().map(|w| format!("fleet.{w}")));
+                None
+            }
+        }
+    }
+}
+
 pub fn read(text: &str) -> Result<Config, Problems> {
     let mut v: Value = serde_json::from_str(text).map_err(|e| Problems(vec![format!("not JSON: {e}")]))?;
     if !v.is_object() {
@@ -86,6 +136,10 @@
             }
         }
     }
+    let place = match &v["fleet"] {
+        Value::Null => Some(None),
+        fleet => r.place(fleet, name.as_deref().unwrap_or("?")).map(Some),
+    };
     if !r.0.is_empty() {
         return Err(Problems(r.0));
     }
@@ -100,6 +154,7 @@
             sockets: sockets?,
             known: known?,
             named: named?,
+            place: place?,
         })
     };
     whole().ok_or_else(|| Problems(vec!["a field is missing".into()]))
