--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -25,6 +25,8 @@
 const PAGES: usize = 4;
 /// Members in a range that are told and not compared any further.
 const FEW: usize = 8;
+/// Periods after which a host counts itself as joined, though its view is not yet another one's.
+const JOINS: u64 = 20;
 /// Periods after which a host whose seeds say nothing takes itself for the first.
 const FIRST: u64 = 3;
 /// Periods until a member out of reach is first looked for, and the longest between two looks.
@@ -65,7 +67,7 @@
 }
 
 /// What came in and went out, for figures.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     pub heard: u64,
     pub sent: u64,
@@ -80,6 +82,11 @@
     pub refuted: u64,
 }
 
+/// Nothing goes by them: two parts that differ in them alone are the same to a search.
+impl std::hash::Hash for Counts {
+    fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
+}
+
 /// A question asked for another member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Relay {
@@ -323,19 +330,21 @@
             return self.of_me(&Told { word: packet.from, doubt: None }, now, out);
         }
         if self.displaced.is_some() {
-            return self.learn(&packet, now, out);
+            self.learn(&packet, now, out);
+            return;
         }
         let key = id(&packet.from.name);
         let known = self.table.get(key).is_some_and(|m| m.heard.is_some() && m.word.address == from);
         let most = if known { MOST } else { bytes.len().min(MOST) };
-        self.learn(&packet, now, out);
+        let later = self.learn(&packet, now, out);
         self.sign_of_life(key, &packet.from, now, out);
         // A speaker hears first what is doubted of it, or that another one has its name by now.
-        let of_it: Vec<Told> = match self.table.get(key) {
+        let mut of_it: Vec<Told> = match self.table.get(key) {
             Some(m) if m.doubt != Doubt::None || m.word.rank() > packet.from.rank() => vec![m.told()],
             Some(_) => Vec::new(),
             None => self.table.last(key).map(|w| Told { word: w.clone(), doubt: None }).into_iter().collect(),
         };
+        of_it.extend(later);
         match packet.body {
             Body::Ping { nr } => self.send(from, Body::Ack { nr }, &of_it, most, out),
             Body::Ack { nr } => {
@@ -360,19 +369,37 @@
             }
             Body::Parts(parts) => self.compared(from, known, &parts, now, out),
             Body::Range { ranges, back: true } if known => self.send_better(from, &ranges, &packet.news, out),
+            // Whoever still has words of those that are over would keep them: nobody else has them in his view.
+            Body::Range { .. } | Body::Tell if known && !of_it.is_empty() => {
+                self.send(from, Body::Tell, &of_it, MOST, out);
+            }
             Body::AskFor { .. } | Body::Range { .. } | Body::Tell => {}
         }
     }
 
-    fn learn(&mut self, packet: &Packet, now: Millis, out: &mut dyn Carrier) {
+    /// What this host knows better of those that it was told of comes back.
+    fn learn(&mut self, packet: &Packet, now: Millis, out: &mut dyn Carrier) -> Vec<Told> {
+        let mut better = Vec::new();
         let own = Told { word: packet.from.clone(), doubt: None };
         for told in std::iter::once(&own).chain(&packet.news) {
+            #[cfg(feature = "mistakes")]
+            if self.settings.errs(crate::settings::Mistake::EarlierWords) && told.word.name != self.me.name {
+                self.table.drop_word(id(&told.word.name));
+            }
             if told.word.name == self.me.name {
                 self.of_me(told, now, out);
-            } else if self.table.learn(told, now, &mut |c| out.changed(c)) == Learnt::Full {
-                self.counts.full += 1;
+                continue;
+            }
+            match self.table.learn(told, now, &mut |c| out.changed(c)) {
+                Learnt::Full => self.counts.full += 1,
+                Learnt::Old if told.word.name != packet.from.name => {
+                    let later = self.table.last(id(&told.word.name)).filter(|w| w.rank() > told.word.rank());
+                    better.extend(later.map(|w| Told { word: w.clone(), doubt: None }));
+                }
+                _ => {}
             }
         }
+        better
     }
 
     /// A member was heard: what was found while nobody was heard is void.
@@ -405,6 +432,10 @@
             }
             return;
         }
+        #[cfg(feature = "mistakes")]
+        if self.settings.errs(crate::settings::Mistake::Unrefuted) {
+            return;
+        }
         let ahead =
             word.incarnation > self.me.incarnation || word.life == Life::Left && self.me.life != Life::Left;
         if ahead || told.doubt.is_some() && word.incarnation == self.me.incarnation {
@@ -624,6 +655,10 @@
     fn forget(&mut self, now: Millis, out: &mut dyn Carrier) {
         let shown = SHOWN * self.settings.period;
         self.table.forget(now, shown, self.settings.keep, &mut |c| out.changed(c));
+        #[cfg(feature = "mistakes")]
+        if self.settings.errs(crate::settings::Mistake::NoGraves) {
+            self.table.forget_graves();
+        }
     }
 
     fn lonely(&mut self, now: Millis, out: &mut dyn Carrier) {
@@ -763,7 +798,8 @@
     /// Seeds, as long as nobody is known; now and then one that is no member here.
     fn join(&mut self, now: Millis, out: &mut dyn Carrier) {
         let nobody = self.some_well(|_| true).is_none();
-        if self.me.life == Life::Joining && nobody && now >= self.began + FIRST * self.settings.period {
+        let after = if nobody { FIRST } else { JOINS };
+        if self.me.life == Life::Joining && now >= self.began + after * self.settings.period {
             self.say(|me| me.life = Life::Alive, now, out);
         }
         if now < self.seed_at || self.settings.seeds.is_empty() {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -24,6 +24,20 @@
     /// Parts of Lifeguard: turned off by the model alone, to be weighed against.
     pub health: bool,
     pub confirmations: bool,
+    #[cfg(feature = "mistakes")]
+    pub mistake: Option<Mistake>,
+}
+
+/// A rule that is left out.
+#[cfg(feature = "mistakes")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mistake {
+    /// Who is doubted says nothing new of itself.
+    Unrefuted,
+    /// Nothing is kept of those that are over.
+    NoGraves,
+    /// An earlier word counts as much as a later one.
+    EarlierWords,
 }
 
 /// A host's place in its fleet's view, as a configuration puts it.
@@ -92,7 +106,24 @@
     pub fn new(fleet: Name, name: Name, address: SocketAddr) -> Self {
         let (zone, seeds) = (Zone::new(), Vec::new());
         let (period, keep) = (1_000, 3_600_000);
-        Settings { fleet, name, zone, address, seeds, period, keep, health: true, confirmations: true }
+        Settings {
+            fleet,
+            name,
+            zone,
+            address,
+            seeds,
+            period,
+            keep,
+            health: true,
+            confirmations: true,
+            #[cfg(feature = "mistakes")]
+            mistake: None,
+        }
+    }
+
+    #[cfg(feature = "mistakes")]
+    pub(crate) fn errs(&self, mistake: Mistake) -> bool {
+        self.mistake == Some(mistake)
     }
 
     /// How long a suspicion stands before its member counts as unreachable: with so many who confirm it, in a fleet of
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -284,6 +284,16 @@
         }
     }
 
+    #[cfg(feature = "mistakes")]
+    pub fn forget_graves(&mut self) {
+        self.graves.clear();
+    }
+
+    #[cfg(feature = "mistakes")]
+    pub fn drop_word(&mut self, key: u64) {
+        self.members.remove(&key);
+    }
+
     // What is told.
 
     pub fn say(&mut self, key: u64) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod node;
 pub mod rehearse;
 pub mod script;
+pub mod search;
 pub mod sharesday;
 pub mod snapbench;
 pub mod trace;
