A call that comes through and is never answered counts as a watch gone silent, once

Ruled out: watches with a sign before (they ask by 5.8 s in the worst case). Left: a call made just before the silence, taken by the service for a watch, of which the host never had a word. Line at fault: run.rs, `look`, which told such a call as failed, so that the host kept its place in the span (8 s) and asked at 10 s.

Change: what has come through and says nothing for 1.2 s is told as silent, and asked again within 1.6 s; the second time in a row it keeps its place in the span, so that a service that takes calls and says nothing is not asked ever again. Also: the model of the view (mallowseam-lab model fleet-view), the search as a command (search fleet-view), one sheet of plots for all models.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod model;
 pub mod node;
+pub mod plots;
 pub mod rehearse;
 pub mod script;
 pub mod search;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,8 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::fleet::{play as fleet, processes, scene};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
-use mallowseam_lab::{bench, brute, model, script, sharesday, snapbench};
+use mallowseam_lab::view::{figures, small};
+use mallowseam_lab::{bench, brute, model, plots, script, sharesday, snapbench};
 use mallowseam_shares::model::Problem;
 use mallowseam_shares::search::{Answer, solve};
 use std::ffi::OsString;
@@ -45,6 +46,11 @@
         #[command(subcommand)]
         what: ModelWhat,
     },
+    /// Every order of what may happen to a small state machine, within bounds
+    Search {
+        #[command(subcommand)]
+        what: SearchWhat,
+    },
     /// Compare worked-out shares with a plain enumeration on fresh small problems
     SharesCheck {
         #[arg(long, default_value_t = 1)]
@@ -72,8 +78,38 @@
     },
 }
 
+#[derive(Subcommand)]
+enum SearchWhat {
+    /// The view of three hosts: words, the dead, and one view in the end
+    FleetView {
+        /// States looked at from each root
+        #[arg(long, default_value_t = 200_000)]
+        states: u64,
+        /// One state in so many is followed to its end
+        #[arg(long, default_value_t = 20)]
+        ends_every: u64,
+        /// Passes of half a period
+        #[arg(long, default_value_t = 8)]
+        passes: u32,
+    },
+}
+
 #[derive(Subcommand)]
 enum ModelWhat {
+    /// The view that hosts keep of their fleet: as built, without Lifeguard's parts, and heartbeats to all
+    FleetView {
+        /// How many hosts, each in turn
+        #[arg(long, value_delimiter = ',', default_value = "10,30,100,300")]
+        hosts: Vec<usize>,
+        /// The built one alone
+        #[arg(long)]
+        built: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A directory for the figures as CSV, and a sheet of plots
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// All hosts start within a second, or after an outage: calls to the list service, paced and as before
     ColdStart {
         /// How many hosts, each in turn
@@ -134,6 +170,102 @@
     Ok(good)
 }
 
+/// Promise 1 (docs/fleet.md): within so many periods of a second all hosts hold one view again.
+fn settles_within(hosts: usize) -> f64 {
+    100.0 + 20.0 * (hosts.max(10) as f64).log10()
+}
+
+fn model_fleet_view(
+    hosts: &[usize],
+    built: bool,
+    seed: u64,
+    out: Option<&std::path::Path>,
+) -> Result<bool, String> {
+    use figures::{Figures, Kind};
+    println!("simulated, seed {seed}, periods of 1 s; T(N) = 100 + 20 log10 N periods");
+    println!(
+        "{:>7}{:>9}{:>9}{:>9}{:>8}{:>10}{:>8}{:>13}{:>13}",
+        "hosts", "start s", "kill s", "heal s", "T(N)", "bytes/s", "dgr/s", "false/h", "false part"
+    );
+    let mut good = true;
+    let mut all: Vec<(Kind, Figures)> = Vec::new();
+    for &n in hosts {
+        let kinds: &[Kind] =
+            if built { &[Kind::Built] } else { &[Kind::Built, Kind::Plain, Kind::Heartbeats] };
+        for &kind in kinds {
+            let f = figures::run(kind, n, seed);
+            println!(
+                "{n:>7}{:>9.1}{:>9.1}{:>9.1}{:>8.0}{:>10.0}{:>8.1}{:>13.0}{:>13.6}  {}",
+                f.start_s,
+                f.kill_s,
+                f.heal_s,
+                settles_within(n),
+                f.bytes_s,
+                f.datagrams_s,
+                f.false_words_h,
+                f.false_part,
+                kind.name()
+            );
+            let settled = [f.start_s, f.kill_s, f.heal_s].iter().all(|s| *s <= settles_within(n));
+            good &= kind != Kind::Built || settled && f.bytes_s <= 2_000.0;
+            all.push((kind, f));
+        }
+    }
+    let Some(dir) = out else { return Ok(good) };
+    let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", dir.display());
+    std::fs::create_dir_all(dir).map_err(|e| failed(&e))?;
+    let mut table = csv::Writer::from_path(dir.join("fleet-view.csv")).map_err(|e| failed(&e))?;
+    for (kind, f) in &all {
+        table.serialize((kind.name(), f)).map_err(|e| failed(&e))?;
+    }
+    table.flush().map_err(|e| failed(&e))?;
+    let line = |name, kind, of: fn(&Figures) -> f64| -> plots::Line<'static> {
+        (name, all.iter().filter(|a| a.0 == kind).map(|a| (a.1.hosts as f64, of(&a.1))).collect())
+    };
+    let bound = hosts.iter().map(|n| (*n as f64, settles_within(*n))).collect();
+    let mut settle = vec![("T(N)", bound)];
+    let mut bytes = Vec::new();
+    let mut wrong = Vec::new();
+    for kind in [Kind::Built, Kind::Plain, Kind::Heartbeats] {
+        if kind != Kind::Heartbeats {
+            settle.push(line(kind.name(), kind, |f| f.start_s.max(f.kill_s).max(f.heal_s)));
+        }
+        bytes.push(line(kind.name(), kind, |f| f.bytes_s));
+        wrong.push(line(kind.name(), kind, |f| f.false_part));
+    }
+    let sheet = [
+        ("seconds until one view, the longest of three", settle),
+        ("bytes a second and host, at rest", bytes),
+        ("part of the time that a running host is held unreachable, under loss and stops", wrong),
+    ];
+    plots::write(&dir.join("fleet-view.svg"), "hosts", true, &sheet)?;
+    Ok(good)
+}
+
+fn search_fleet_view(states: u64, ends_every: u64, passes: u32) -> Result<bool, String> {
+    let budget = small::Budget { passes, repeats: 1, kills: 1, starts: 1, cuts: 1 };
+    let mut good = true;
+    for (name, root) in small::roots(budget, None) {
+        let began = std::time::Instant::now();
+        let found = mallowseam_lab::search::search(&root, states, ends_every);
+        let took = began.elapsed().as_secs_f64();
+        match found {
+            Ok(r) => {
+                let whole = if r.whole { "all" } else { "as many as allowed" };
+                println!(
+                    "{name}: {} states ({whole}), {} steps, depth {}, {took:.1} s",
+                    r.states, r.steps, r.depth
+                );
+            }
+            Err(f) => {
+                println!("{name}: {} after {:?}", f.wrong, f.moves);
+                good = false;
+            }
+        }
+    }
+    Ok(good)
+}
+
 const SCRIPTS: [(&str, &str); 5] = [
     ("bad-day", include_str!("../scripts/bad-day.script")),
     ("month-end", include_str!("../scripts/month-end.script")),
@@ -154,6 +286,12 @@
         What::Model { what: ModelWhat::ColdStart { hosts, takes, down, seed, out } } => {
             finish(model_cold_start(&hosts, (takes, down), seed, out.as_deref()))
         }
+        What::Model { what: ModelWhat::FleetView { hosts, built, seed, out } } => {
+            finish(model_fleet_view(&hosts, built, seed, out.as_deref()))
+        }
+        What::Search { what: SearchWhat::FleetView { states, ends_every, passes } } => {
+            finish(search_fleet_view(states, ends_every, passes))
+        }
         What::SharesCheck { seed, count } => shares_check(seed, count),
         What::SharesDay { seed, seeds } => {
             finish(sharesday::run(seed, seeds, &program()).map(|(text, kept)| {
--- a/crates/platform-host/src/discovery.rs
+++ b/crates/platform-host/src/discovery.rs
@@ -62,8 +62,9 @@
         self.address
     }
 
-    pub fn stood(&self) -> bool {
-        self.watch.stood()
+    /// Whether it has come through: the service may take it for a watch, though it has said nothing.
+    pub fn up(&self) -> bool {
+        self.out.is_empty() && self.socket.peer_addr().is_ok()
     }
 
     pub fn fails_at(&self) -> Millis {
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -321,8 +321,8 @@
         self.desk.nodes.look(self.desk.now);
         for token in [WATCH, FETCH] {
             if self.place(token).as_ref().is_some_and(|c| now >= c.fails_at()) {
-                let stood = self.place(token).as_ref().is_some_and(Call::stood);
-                self.lost(token, "silent", if stood { ListForm::Silent } else { ListForm::Failed });
+                let up = self.place(token).as_ref().is_some_and(Call::up);
+                self.lost(token, "silent", if up { ListForm::Silent } else { ListForm::Failed });
             }
         }
         if self.leaving.is_some_and(|l| !l.lets_in(now)) {
--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -198,7 +198,8 @@
     /// The whole list as this host last had it.
     Kept,
     Failed,
-    /// A watch says nothing any more; what it misses counts as told some seconds later.
+    /// A watch says nothing any more, or a call that came through: the service may take it for a watch. What it misses
+    /// counts as told some seconds later.
     Silent,
 }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -275,6 +275,7 @@
     ask_at: Tick,
     ask_span: Tick,
     ask_wait: Tick,
+    silent: bool,
     waking: Tick,
     losing: Tick,
     lat: f64,
@@ -355,14 +356,16 @@
         if form == ListForm::Failed || form == ListForm::Silent {
             // A failed call does not say whether a watch stands. Who had one lost it with all others, and
             // draws its place among them; later calls keep it: all have asked within a span of its return.
-            let most = if form == ListForm::Silent { ASK_SILENT } else { Tick::MAX };
+            // Of silence the first one: a service that takes calls and says nothing is not asked ever again.
+            let silent = form == ListForm::Silent && !std::mem::replace(&mut self.silent, true);
+            let most = if silent { ASK_SILENT } else { Tick::MAX };
             let drawn = self.pcg.below(self.ask_span.min(most) as u64) as Tick;
-            self.ask_at = now + if self.ask_wait == 0 { drawn } else { self.ask_wait };
+            self.ask_at = now + if silent || self.ask_wait == 0 { drawn } else { self.ask_wait };
             self.ask_wait = (self.ask_wait * 2).clamp(self.ask_span, self.ask_span.max(ASK_MOST));
             return self.sleep(host, now);
         }
         if form != ListForm::Kept {
-            self.ask_wait = 0;
+            (self.ask_wait, self.silent) = (0, false);
         }
         if form != ListForm::Changes {
             self.nodes.iter_mut().for_each(|n| n.open = false);
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -180,6 +180,19 @@
     };
     let last = last_asks(&paced, silent);
     assert!((10_000..=16_100).contains(&last), "what a silent watch misses counts as told: {last}");
+    let unanswered = |s: &mut Story| {
+        s.pass(100_000);
+        s.log.did.clear();
+        s.list(ListForm::Silent, &[]);
+    };
+    assert!(last_asks(&paced, unanswered) <= 16_100, "as does what comes behind a call without a word");
+    let again = |s: &mut Story| {
+        unanswered(s);
+        s.pass(20_000);
+        s.log.did.clear();
+        s.list(ListForm::Silent, &[]);
+    };
+    assert!(last_asks(&paced, again) > 80_000, "a service that says nothing is not asked ever again");
 }
 
 #[test]
