`mallowseam run`, too, takes part in the fleet's view, by a line `fleet` of its host section

Change: one check of a host's place in the view for both kinds of configuration, all faults at once; `fleet NAME listen A [reached-at A] [zone Z] [seed A]... [period D] [keep D]`; the gateway's loop ticks its part before it reads, tells the versions of list and plans that it acts on, that it is leaving at the first order to stop, and that it is over at its end. Without the line nothing is opened.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,8 @@
 use crate::nodes::Nodes;
 use crate::terms;
 use mallowseam_conduct::door::Door;
+use mallowseam_fleet::word::Facts;
+use mallowseam_fleet_udp::Part;
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::Wishes;
 use mallowseam_iscsi::target::TargetTerms;
@@ -32,9 +34,10 @@
 const SIGNALS: Token = Token(3);
 const MAP: Token = Token(4);
 const FOLLOW: Token = Token(5);
+const FLEET: Token = Token(6);
 /// Ticks between two counts of what clients ask.
 const COUNT: Tick = 2_500;
-const CALLERS: usize = 6;
+const CALLERS: usize = 7;
 const NODES: usize = CALLERS + control::MOST;
 /// Bytes read from a socket in one go; each ready socket has its turn.
 const SCRATCH: usize = 128 * 1024;
@@ -102,6 +105,9 @@
     desk: Desk,
     list: List,
     follow: Option<Follow>,
+    /// Its part in the fleet's view, where the configuration names one, and whether that has more to read.
+    part: Option<Box<Part>>,
+    part_more: bool,
     /// The parts of limits that the scheduler keeps to, by volume.
     parts: Vec<Option<Units>>,
     /// What clients asked of each volume in the last span, a second; and the counts it began with.
@@ -131,12 +137,15 @@
             return Err(Failure(format!("poll: {e}")));
         }
         gateway.desk.now = gateway.clock.now();
+        // Time first: a host that was stopped must not take what has come since for late.
+        gateway.part.iter_mut().for_each(|p| p.tick());
         for event in events.iter() {
             let readable = event.is_readable() || event.is_error() || event.is_read_closed();
             gateway.ready(event.token(), readable);
         }
         gateway.round();
     }
+    gateway.part.iter_mut().for_each(|p| p.leave(true));
     tracing::info!("host ends");
     Ok(())
 }
@@ -177,6 +186,9 @@
             }
             None => None,
         };
+        let opened = |place| Part::open(poll.registry(), FLEET, place).map(Box::new);
+        let part =
+            site.host.place.clone().map(opened).transpose().map_err(failure("the fleet's view".into()))?;
         let seed = site.host.seed.unwrap_or_else(|| rand::rng().next_u64());
         let clock = Clock::start();
         tracing::info!(host = site.host.name, listen = %bound, seed, "host starts");
@@ -185,6 +197,8 @@
             desk: Desk::new(&site, clients, nodes, map),
             list,
             follow,
+            part,
+            part_more: false,
             parts: vec![None; site.volumes.len()],
             wanted: vec![0; site.volumes.len()],
             counted: (0, vec![0.0; site.volumes.len()]),
@@ -226,20 +240,22 @@
     }
 
     fn wait(&self) -> Option<std::time::Duration> {
-        if !self.turns.is_empty() {
+        if !self.turns.is_empty() || self.part_more {
             return Some(std::time::Duration::ZERO);
         }
         let mut due = self.looked + LOOK;
         for at in [self.desk.wake_at, self.desk.next_timer(), self.desk.next_look()].into_iter().flatten() {
             due = due.min(at);
         }
-        Some(span(due - self.clock.now()))
+        let due = span(due - self.clock.now());
+        Some(self.part.as_ref().map_or(due, |p| due.min(std::time::Duration::from_millis(p.due()))))
     }
 
     fn ready(&mut self, token: Token, readable: bool) {
         let now = self.desk.now;
         match token {
             LISTENER => self.accepting = true,
+            FLEET => self.part_more = true,
             CONTROL => {
                 if let Some(control) = &mut self.control {
                     control.accept();
@@ -336,6 +352,9 @@
                 None => break,
             }
         }
+        if let Some(part) = self.part.as_mut().filter(|_| self.part_more) {
+            self.part_more = part.heard();
+        }
         self.hear_list();
         self.desk.now = self.clock.now();
         self.desk.run_timers();
@@ -355,6 +374,7 @@
             self.desk.settle(&mut self.scheduler);
         }
         self.tend_follow();
+        self.tell_part();
         if let Some(map) = &mut self.desk.map {
             map.tend(millis(self.desk.now));
         }
@@ -452,8 +472,18 @@
         }
     }
 
+    /// What this host acts on, for the fleet's view.
+    fn tell_part(&mut self) {
+        let Some(part) = &mut self.part else { return };
+        let plans = self.follow.as_ref().map_or(0, |f| f.member.state().version);
+        part.facts(Facts { list: self.list.known().1, plans });
+    }
+
     fn drain(&mut self, cause: &str) -> bool {
         let drained = self.desk.clients.drain(self.desk.now);
+        if drained && self.stops > 0 {
+            self.part.iter_mut().for_each(|p| p.leave(false));
+        }
         if drained {
             tracing::info!(cause, "closed to new logins");
         }
--- a/crates/lab/tests/host.rs
+++ b/crates/lab/tests/host.rs
@@ -474,3 +474,50 @@
     let best: Vec<&str> = told.lines().skip(1).take(2).filter_map(|l| l.split_whitespace().last()).collect();
     assert_eq!(best, ["0", "2"], "{told}");
 }
+
+#[test]
+fn two_hosts_see_each_other_in_the_view_of_their_fleet_and_one_that_ends_as_leaving_and_left() {
+    use mallowseam_fleet::State;
+    use mallowseam_fleet_udp::ask::view;
+    let place = |n: u8| SocketAddr::from(([127, 219, std::process::id() as u8, n], 7000));
+    let with = |n: u8| {
+        Rig::with(10.0, |_, conf| {
+            let line =
+                format!("  fleet south listen {} seed {} zone z{n} period 100ms\n", place(n), place(3 - n));
+            conf.replacen("host gw0\n", &format!("host gw{n}\n{line}"), 1)
+        })
+    };
+    let (one, mut other) = (with(1), with(2));
+    let sees = |n: u8, name: &str, state: State| {
+        let began = Instant::now();
+        loop {
+            let seen = view(place(n)).ok();
+            let seen = seen.and_then(|v| v.members.iter().find(|m| m.word.name == name).map(|m| m.state));
+            if seen == Some(state) {
+                return began.elapsed();
+            }
+            assert!(began.elapsed() < Duration::from_secs(10), "{n} has {name} as {seen:?}, not {state:?}");
+        }
+    };
+    sees(1, "gw2", State::Alive);
+    sees(2, "gw1", State::Alive);
+    let _client = other.client(1);
+    kill(Pid::from_raw(other.host.id() as i32), Signal::SIGTERM).expect("a signal");
+    assert!(sees(1, "gw2", State::Leaving) < Duration::from_millis(650));
+    kill(Pid::from_raw(other.host.id() as i32), Signal::SIGTERM).expect("a signal");
+    assert!(other.end().success());
+    sees(1, "gw2", State::Left);
+    let shown = |args: &[&str]| {
+        let out = lab(args).output().expect("it runs");
+        (out.status.success(), String::from_utf8_lossy(&out.stdout).into_owned())
+    };
+    let at = place(1).to_string();
+    let (well, table) = shown(&["fleet", &at]);
+    assert!(well && table.contains("gw2") && table.contains("left") && table.contains("1 alive"), "{table}");
+    let (well, json) = shown(&["fleet", &at, "--json"]);
+    let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert!(well && json["members"].as_array().is_some_and(|m| m.len() == 2), "{json}");
+    assert!(shown(&["fleet", &at, &at, "--agree"]).0, "one agrees with itself");
+    assert!(!shown(&["fleet", &place(2).to_string()]).0, "nobody is there");
+    drop(one);
+}
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -216,6 +216,15 @@
         self.value(expected, |w| w.parse().ok())
     }
 
+    /// What stands on the line does not go together: each fault at its first word.
+    pub fn wrong(&mut self, all: &[String]) {
+        let at = self.words.first().map_or(self.end, |w| w.at);
+        for wrong in all.iter().filter(|_| !self.spoiled) {
+            let (field, expected) = wrong.split_once(": expected ").unwrap_or(("the line", wrong));
+            self.problems.add(at, expected, format!("another {field}"));
+        }
+    }
+
     /// Nothing may follow.
     pub fn end(&mut self) {
         if !self.spoiled && self.next < self.words.len() {
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -1,6 +1,7 @@
 //! From text to a draft: every directive read, references still by name.
 use crate::lines::{Args, At, Problems, Word, words};
 use crate::site::{Catalog, Direction, Effect, Extent, Fleet, Group, Host, Node, Plan, Tariffs, Volume};
+use mallowseam_fleet::settings::{Place, Written};
 use std::collections::HashSet;
 
 #[derive(Default)]
@@ -204,16 +205,48 @@
             }
         }
         "seed" => host.seed = args.whole("a whole number", 0, u64::MAX),
+        "fleet" => host.place = place(&host.name, args),
         _ => {
             return Err(
                 "listen, target, control, node-list, kept-list, follow, kept-plans, window, connections, longest, \
-                 digests, seed",
+                 digests, seed, fleet",
             );
         }
     }
     Ok(())
 }
 
+/// A host's place in its fleet's view: the fleet's name, then what is told of it.
+fn place(host: &str, args: &mut Args) -> Option<Place> {
+    let mut written =
+        Written { fleet: args.word("the fleet's name")?, host: host.to_owned(), ..Written::default() };
+    let address = "an address and port";
+    while args.more() {
+        if args.literal("listen") {
+            written.listen = args.address(address);
+        } else if args.literal("reached-at") {
+            written.reached_at = args.address(address);
+        } else if args.literal("zone") {
+            written.zone = args.word("a zone").unwrap_or_default();
+        } else if args.literal("seed") {
+            written.seeds.extend(args.address(address));
+        } else if args.literal("period") {
+            written.period = args.duration("a duration such as 1s").map(|us| us / 1_000);
+        } else if args.literal("keep") {
+            written.keep = args.duration("a duration such as 1h").map(|us| us / 1_000);
+        } else {
+            args.value::<()>("listen, reached-at, zone, seed, period or keep", |_| None)?;
+        }
+    }
+    match written.check() {
+        Ok(place) => Some(place),
+        Err(wrong) => {
+            args.wrong(&wrong);
+            None
+        }
+    }
+}
+
 fn fleet(fleet: &mut Fleet, name: &str, args: &mut Args) -> Known {
     let span = "a duration such as 200ms";
     match name {
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -1,4 +1,5 @@
 //! What a sound configuration says. Durations in microseconds, sizes in bytes, rates in units a second.
+use mallowseam_fleet::settings::Place;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -58,6 +59,8 @@
     pub data_digest: bool,
     /// Where chance starts; none: from the system's own.
     pub seed: Option<u64>,
+    /// Its place in the view that the fleet keeps of itself; none: it takes no part.
+    pub place: Option<Place>,
 }
 
 /// What holds for all hosts together.
--- a/crates/settings/tests/reading.rs
+++ b/crates/settings/tests/reading.rs
@@ -89,6 +89,9 @@
 fn each_problem_names_line_column_and_what_was_expected() {
     for (from, to, wanted) in [
         ("window 32", "window 0", "f:8:12: expected 1 to 1024, found `0`"),
+        ("window 32", "window 32\n fleet south seed x", "f:9:19: expected an address and port, found `x`"),
+        ("window 32", "window 32\n fleet south", "f:9:2: expected address:port, found another listen"),
+        ("window 32", "window 32\n fleet s listen 1.2.3.4:5 period 1ms", "f:9:2: expected 50 to 60000 ms"),
         ("window 32", "windows 32", "f:8:5: expected a directive of section `host` (listen"),
         ("window 32", "window 32 33", "f:8:15: expected the end of the line, found `33`"),
         ("window 32", "window", "f:8:11: expected 1 to 1024, found the end of the line"),
