--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -5,6 +5,7 @@
 //!   in simulated time uses the same.
 //! - `world`: their sockets, on one loop. `processes`: the hosts, started, stopped and ended by id.
 //! - `record`, `audit`: what passed on the sockets, and the rules held against it.
+//! - `storm`, `views`: faults drawn for a fleet that keeps a view of itself, and what its views are held against.
 //! - `scene`: a script of it. `play`: a scene played.
 pub mod audit;
 pub mod callers;
@@ -14,5 +15,7 @@
 pub mod record;
 pub mod scene;
 pub mod store;
+pub mod storm;
 pub mod turns;
+pub mod views;
 pub mod world;
--- a/crates/lab/src/fleet/links.rs
+++ b/crates/lab/src/fleet/links.rs
@@ -70,7 +70,7 @@
 }
 
 /// The faults in force. A later one hides those before it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Links {
     zones: u32,
     faults: Vec<(Side, Side, Fault)>,
--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -3,7 +3,7 @@
 use super::processes::{Fleet, Program, Use};
 use super::record::{End, Seen, What};
 use super::scene::{Event, Scene, Some2, Trouble};
-use super::world::{Listed, World};
+use super::world::{Held, Listed, World};
 use crate::trace::Micros;
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
@@ -32,6 +32,9 @@
     /// The longest that a turn of the stand-ins was late.
     pub late: Micros,
     pub watching: usize,
+    /// What hosts held of their fleet, look by look; and bytes that they sent each other, a second and host.
+    pub held: Vec<Held>,
+    pub view_bytes: f64,
     /// The most that came to a cold node, as part of what it bore.
     pub most_cold: f64,
 }
@@ -50,11 +53,17 @@
         self.evidence(scene).is_empty()
     }
 
+    /// Rules that were broken, and processes that were.
+    pub fn broken(&self) -> Vec<String> {
+        let mut out = self.verdict.evidence();
+        out.extend(self.crashed.iter().cloned());
+        out
+    }
+
     /// What was not as it should be.
     pub fn evidence(&self, scene: &Scene) -> Vec<String> {
         let v = &self.verdict;
-        let mut out = v.evidence();
-        out.extend(self.crashed.iter().cloned());
+        let mut out = self.broken();
         let (fresh, starts) = self.fresh();
         if fresh < starts {
             out.push(format!("{} starts without a list of the service", starts - fresh));
@@ -136,8 +145,13 @@
     told: Vec<Option<Micros>>,
     crashed: Vec<String>,
     late: Micros,
+    /// Hosts are looked at in turn: the next one, and when.
+    looks: Option<(u32, Micros)>,
 }
 
+/// Each host's view is asked for so often, where it is.
+const LOOKS: Micros = 1_000_000;
+
 /// Plays a scene. `tell` gets a line for each trouble as it happens.
 pub fn run(
     scene: &Scene,
@@ -149,7 +163,8 @@
     let mut stage = Stage::open(scene, seed, program, dir)?;
     stage.start_all()?;
     stage.world.clients_ask(true);
-    for event in &scene.events {
+    stage.looks = scene.view.map(|_| (0, 0));
+    for event in scene.events.iter().filter(|e| e.at < scene.length) {
         stage.until(event.at)?;
         tell(stage.world.now(), &format!("{:?}", event.trouble));
         stage.play(event)?;
@@ -169,6 +184,7 @@
             told: vec![None; hosts],
             crashed: Vec::new(),
             late: 0,
+            looks: None,
             scene: scene.clone(),
         })
     }
@@ -212,6 +228,7 @@
 
     /// One turn: sockets, then processes.
     pub fn turn(&mut self) {
+        self.look();
         let before = self.world.now();
         self.world.turn(TURN);
         let took = self.world.now() - before;
@@ -233,6 +250,23 @@
         }
     }
 
+    /// Asks hosts for their views, each in its turn.
+    fn look(&mut self) {
+        let Some((mut host, mut at)) = self.looks else { return };
+        let now = self.world.now();
+        for _ in 0..self.scene.hosts {
+            if at > now {
+                break;
+            }
+            if self.fleet.running(host) {
+                self.world.look_at(host);
+            }
+            host = (host + 1) % self.scene.hosts;
+            at = at.max(now.saturating_sub(LOOKS)) + LOOKS / Micros::from(self.scene.hosts);
+        }
+        self.looks = Some((host, at));
+    }
+
     /// Goes on until a time of the run.
     pub fn until(&mut self, at: Micros) -> Result<(), String> {
         while self.world.now() < at {
@@ -326,6 +360,8 @@
             let left = (0..self.scene.hosts).filter(|h| self.fleet.running(*h)).count();
             self.crashed.push(format!("{left} hosts did not end when told to"));
         }
+        let sent: u64 = self.world.ways_udp.bytes.iter().sum();
+        let host_seconds = f64::from(self.scene.hosts) * self.world.now() as f64 / 1e6;
         let busy = if self.late > BUSY { self.late } else { 0 };
         let colds = self.world.stores.iter().map(|s| s.most_cold);
         Ok(Outcome {
@@ -334,6 +370,8 @@
             uses,
             late: self.late,
             watching,
+            held: std::mem::take(&mut self.world.ways_udp.held),
+            view_bytes: sent as f64 / host_seconds,
             most_cold: colds.fold(0.0, f64::max),
             crashed: self.crashed,
         })
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -29,7 +29,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-pub use ways::{Viewed, Ways};
+pub use ways::{Held, Viewed, Ways};
 
 const BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 1 << 20 };
 const EVENTS: usize = 1_024;
--- a/crates/lab/src/fleet/world/ways.rs
+++ b/crates/lab/src/fleet/world/ways.rs
@@ -2,6 +2,7 @@
 //! kept here for it: what comes there passes with the fault of that pair and direction, and goes on from the address at
 //! which the sender is reached.
 use super::*;
+use mallowseam_fleet::State;
 use mallowseam_fleet::wire::{self as fleet_wire, Look, MOST, Message};
 use mallowseam_fleet_udp::ask::View;
 use mio::net::UdpSocket;
@@ -40,13 +41,24 @@
     pub view: View,
 }
 
+/// What a view held, in short: members by their numbers, with generations.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    pub asked: Micros,
+    pub host: u32,
+    pub sum: u64,
+    pub members: Vec<(u32, State, u64)>,
+}
+
 #[derive(Default)]
 pub struct Ways {
     sockets: Vec<UdpSocket>,
     eye: Option<UdpSocket>,
     pub(super) under_way: Slots<Datagram>,
     looking: BTreeMap<u32, Looking>,
-    pub viewed: Vec<Viewed>,
+    /// The last look at each host, and what all looks showed.
+    pub last: BTreeMap<u32, Viewed>,
+    pub held: Vec<Held>,
     /// What passed, what was lost by faults, and bytes that each host sent.
     pub passed: u64,
     pub lost: u64,
@@ -187,14 +199,20 @@
                 self.noise(host, &fleet_wire::look(next));
             }
             None => {
-                let at = self.now();
-                self.ways_udp.viewed.push(Viewed { asked: looking.since, at, host, view: looking.view });
+                let (at, asked) = (self.now(), looking.since);
+                let number = |name: &str| name.strip_prefix('n').and_then(|n| n.parse().ok());
+                let members = looking.view.members.iter();
+                let members =
+                    members.filter_map(|m| Some((number(&m.word.name)?, m.state, m.word.generation)));
+                let (sum, members) = (looking.view.sum, members.collect());
+                self.ways_udp.held.push(Held { asked, host, sum, members });
+                self.ways_udp.last.insert(host, Viewed { asked, at, host, view: looking.view });
             }
         }
     }
 
     /// The last view that a host told.
     pub fn view(&self, host: u32) -> Option<&Viewed> {
-        self.ways_udp.viewed.iter().rev().find(|v| v.host == host)
+        self.ways_udp.last.get(&host)
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 use clap::{Parser, Subcommand};
-use mallowseam_lab::fleet::{play as fleet, processes, scene};
+use mallowseam_lab::fleet::views::{self, settles_within};
+use mallowseam_lab::fleet::{play as fleet, processes, scene, storm};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
 use mallowseam_lab::view::{figures, small};
 use mallowseam_lab::{bench, brute, model, plots, script, sharesday, snapbench};
@@ -25,7 +26,8 @@
     },
     /// Play a script of trouble through real hosts and judge it by what passed on the sockets
     Rehearse {
-        /// bad-day, month-end, tariff-night, demo, short, cold-start or cold-overload, or a script's file (.fleet: of a fleet)
+        /// bad-day, month-end, tariff-night, demo, short, cold-start, cold-overload or fleet-storm (drawn by the seed), or
+        /// a script's file (.fleet: of a fleet)
         script: String,
         /// How many hosts a fleet's script is played with, nodes and clients in proportion
         #[arg(long)]
@@ -170,11 +172,6 @@
     Ok(good)
 }
 
-/// Promise 1 (docs/fleet.md): within so many periods of a second all hosts hold one view again.
-fn settles_within(hosts: usize) -> f64 {
-    100.0 + 20.0 * (hosts.max(10) as f64).log10()
-}
-
 fn model_fleet_view(
     hosts: &[usize],
     built: bool,
@@ -199,14 +196,14 @@
                 f.start_s,
                 f.kill_s,
                 f.heal_s,
-                settles_within(n),
+                settles_within(n as u32),
                 f.bytes_s,
                 f.datagrams_s,
                 f.false_words_h,
                 f.false_part,
                 kind.name()
             );
-            let settled = [f.start_s, f.kill_s, f.heal_s].iter().all(|s| *s <= settles_within(n));
+            let settled = [f.start_s, f.kill_s, f.heal_s].iter().all(|s| *s <= settles_within(n as u32));
             good &= kind != Kind::Built || settled && f.bytes_s <= 2_000.0;
             all.push((kind, f));
         }
@@ -222,7 +219,7 @@
     let line = |name, kind, of: fn(&Figures) -> f64| -> plots::Line<'static> {
         (name, all.iter().filter(|a| a.0 == kind).map(|a| (a.1.hosts as f64, of(&a.1))).collect())
     };
-    let bound = hosts.iter().map(|n| (*n as f64, settles_within(*n))).collect();
+    let bound = hosts.iter().map(|n| (*n as f64, settles_within(*n as u32))).collect();
     let mut settle = vec![("T(N)", bound)];
     let mut bytes = Vec::new();
     let mut wrong = Vec::new();
@@ -377,12 +374,19 @@
     Ok(kept)
 }
 
+/// Drawn anew by each seed.
+const STORM: &str = "fleet-storm";
+const STORM_HOSTS: u32 = 40;
+
 const FLEETS: [(&str, &str); 2] = [
     ("cold-start", include_str!("../scripts/cold-start.fleet")),
     ("cold-overload", include_str!("../scripts/cold-overload.fleet")),
 ];
 
 fn fleet_script(name: &str) -> Option<Result<String, String>> {
+    if name == STORM {
+        return Some(Ok(String::new()));
+    }
     match FLEETS.iter().find(|s| s.0 == name) {
         Some((_, text)) => Some(Ok((*text).to_owned())),
         None => name
@@ -398,13 +402,20 @@
     (seed, seeds): (u64, u64),
     quiet: bool,
 ) -> Result<bool, String> {
-    let scene = scene::read(name, text).map_err(|p| p.to_string())?;
-    let scene = hosts.map_or(scene.clone(), |h| scene.scaled(h));
+    let scene_of = |seed| {
+        if name == STORM {
+            let text = storm::script(hosts.unwrap_or(STORM_HOSTS), seed);
+            return scene::read(name, &text).map_err(|p| p.to_string());
+        }
+        let scene = scene::read(name, text).map_err(|p| p.to_string())?;
+        Ok(hosts.map_or(scene.clone(), |h| scene.scaled(h)))
+    };
     let this = std::env::current_exe().map_err(|e| e.to_string())?;
     let program = processes::Program::beside(&this);
     let program = if as_before { program.with(&["--list-turn", "0"]) } else { program };
     let mut kept = true;
     for seed in seed..seed + seeds {
+        let scene: scene::Scene = scene_of(seed)?;
         println!(
             "{name}, seed {seed}: {} hosts, {} nodes, {} s",
             scene.hosts,
@@ -420,9 +431,25 @@
         if !quiet {
             print!("{}", outcome.table());
         }
-        println!("{}", outcome.last_line(&scene));
-        if !outcome.good(&scene) {
-            outcome.evidence(&scene).iter().for_each(|e| println!("{e}"));
+        let mut evidence = outcome.evidence(&scene);
+        if name == STORM {
+            // Calls are many here as hosts come and go, and are not what is tried.
+            evidence = outcome.broken();
+            let told = views::judge(&scene, &outcome.seen, &outcome.held);
+            let v = &outcome.verdict;
+            evidence.extend(told.evidence());
+            println!("{} looks; {:.0} bytes a second and host", outcome.held.len(), outcome.view_bytes);
+            println!(
+                "{told}; rules kept: {} of 7; unanswered {}, doubled {}",
+                v.rules_kept(),
+                v.unanswered,
+                v.doubled
+            );
+        } else {
+            println!("{}", outcome.last_line(&scene));
+        }
+        if !evidence.is_empty() {
+            evidence.iter().for_each(|e| println!("{e}"));
             println!("logs and configurations: {}", dir.keep().display());
             kept = false;
         }
--- a/crates/lab/tests/fleet/main.rs
+++ b/crates/lab/tests/fleet/main.rs
@@ -4,3 +4,4 @@
 mod stage;
 mod storms;
 mod view;
+mod views;
--- a/crates/lab/tests/fleet/view.rs
+++ b/crates/lab/tests/fleet/view.rs
@@ -4,7 +4,7 @@
 use mallowseam_lab::fleet::links::{Fault, Party, Side};
 use mallowseam_lab::fleet::play::Stage;
 use mallowseam_lab::fleet::scene::Scene;
-use mallowseam_lab::fleet::world::Viewed;
+use mallowseam_lab::fleet::world::Held;
 use std::net::SocketAddr;
 
 /// Periods of 100 ms, so that a suspicion stands for half a second to one and a half.
@@ -131,11 +131,10 @@
     all_see(&mut s, "a stop longer than any suspicion", &[0, 1, 3, 4], &[2], State::Unreachable);
     s.fleet.signal(2, nix::sys::signal::Signal::SIGCONT);
     s.world.stall(2, false);
-    let mark = s.world.ways_udp.viewed.len();
+    let mark = s.world.ways_udp.held.len();
     all_see(&mut s, "all see all again", &FIVE, &FIVE, State::Alive);
-    let wrong = s.world.ways_udp.viewed[mark..].iter().filter(|v| v.host == 2);
-    let wrong: usize =
-        wrong.map(|v| v.view.members.iter().filter(|m| m.state == State::Unreachable).count()).sum();
+    let wrong = s.world.ways_udp.held[mark..].iter().filter(|v| v.host == 2);
+    let wrong: usize = wrong.map(|v| v.members.iter().filter(|m| m.1 == State::Unreachable).count()).sum();
     assert_eq!(wrong, 0, "the one that was stopped doubted itself");
     close(s);
 }
@@ -187,15 +186,15 @@
         cut(&mut s, *h, 5, true);
     });
     let from = s.world.now();
-    let mark = s.world.ways_udp.viewed.len();
+    let mark = s.world.ways_udp.held.len();
     // Forty periods: each pair is asked some eight times over.
     s.until_holds(std::time::Duration::from_secs(4), |s| {
         (0..6).for_each(|h| s.world.look_at(h));
         s.world.now() > from + 4_000_000
     });
-    let out = |v: &&Viewed| v.view.members.iter().any(|m| m.state == State::Unreachable);
-    let seen = s.world.ways_udp.viewed[mark..].len();
-    let wrong = s.world.ways_udp.viewed[mark..].iter().filter(out).count();
+    let out = |v: &&Held| v.members.iter().any(|m| m.1 == State::Unreachable);
+    let seen = s.world.ways_udp.held[mark..].len();
+    let wrong = s.world.ways_udp.held[mark..].iter().filter(out).count();
     assert!(seen > 60 && wrong == 0, "{wrong} of {seen} looks");
     split(&mut s, 6, |_, _| false);
     close(s);
