--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -23,6 +23,8 @@
 /// Comparisons answered in one period, and datagrams to one of them, at most.
 const ANSWERS: u32 = 16;
 const PAGES: usize = 4;
+/// Members that are told news a period beside those asked, where more waits than two datagrams hold.
+const TELLS: usize = 3;
 /// Members in a range that are told and not compared any further.
 const FEW: usize = 8;
 /// Periods after which a host counts itself as joined, though its view is not yet another one's.
@@ -745,6 +747,16 @@
         let nr = self.next_nr();
         self.probe.begin(to, nr, now, &self.settings);
         self.ping(to, nr, out);
+        // Where many are stopped or lost at once, probes alone carry less news than there is: who lives after all would
+        // be heard too late.
+        for _ in 0..TELLS {
+            if self.table.news_waiting() <= 2 * FEW {
+                break;
+            }
+            if let Some(to) = self.some_well(|_| true) {
+                self.send(to, Body::Tell, &[], MOST, out);
+            }
+        }
     }
 
     fn ping(&mut self, key: u64, nr: u32, out: &mut dyn Carrier) {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -300,6 +300,10 @@
         self.news.insert(key, 0);
     }
 
+    pub fn news_waiting(&self) -> usize {
+        self.news.len()
+    }
+
     /// What was told least so far, up to `most` times each; `take` says whether it fits in.
     pub fn tell_news(&mut self, most: u32, mut take: impl FnMut(&Told) -> bool) {
         self.news.retain(|_, n| *n < most);
--- a/crates/lab/src/fleet/storm.rs
+++ b/crates/lab/src/fleet/storm.rs
@@ -29,6 +29,8 @@
     // A host has one fault of its own at a time: until when it has.
     let mut busy = vec![0u64; hosts as usize];
     let mut ways_busy = 0;
+    // Of ten hosts, one dies for good.
+    let mut deaths = (hosts / 10).max(1);
     while at < UNTIL - 15_000 {
         let span = rng.random_range(2_000..12_000);
         let some: Vec<u32> = {
@@ -47,7 +49,14 @@
         };
         match rng.random_range(0..8) {
             0 => each("kill", span, &mut line),
-            1 => each("kill", FOR_GOOD, &mut line),
+            1 if deaths > 0 => {
+                let host = some.first().copied().unwrap_or(0);
+                if busy[host as usize] <= at {
+                    deaths -= 1;
+                    busy[host as usize] = FOR_GOOD;
+                    line(at, format!("host {host} kill for {FOR_GOOD}ms"));
+                }
+            }
             // Restarted as on the platform: killed past the longest hard limit, started after.
             2 => each("term", 5_000, &mut line),
             3 | 4 => each("stall", rng.random_range(500..5_000), &mut line),
