--- a/crates/lab/src/view/figures.rs
+++ b/crates/lab/src/view/figures.rs
@@ -69,6 +69,8 @@
     }
     let mut out = Figures { hosts, start_s: seconds(net.settles(MOST)), ..Figures::default() };
     net.keep_changes = false;
+    // What was to be told of the start has been told.
+    net.until(net.now + REST);
     let (datagrams, bytes) = (net.datagrams, net.bytes);
     net.until(net.now + REST);
     let each = hosts as f64 * REST as f64 / 1e3;
