--- a/crates/lab/src/fleet/views.rs
+++ b/crates/lab/src/fleet/views.rs
@@ -32,6 +32,8 @@
     pub longest: (f64, f64),
     /// Seconds for which running hosts in reach were held unreachable, over all pairs.
     pub wrongly: f64,
+    /// How the last views differ from what there is, some of them.
+    pub differ: Vec<String>,
     pub unseen: Vec<String>,
     pub back: Vec<String>,
 }
@@ -62,6 +64,7 @@
                 self.settled.1 - self.settled.0
             ));
         }
+        out.extend(self.differ.iter().take(5).cloned());
         if self.longest.0 > self.longest.1 {
             out.push(format!("one view after {:.1} s, of {:.1} at most", self.longest.0, self.longest.1));
         }
@@ -94,6 +97,8 @@
 /// Judges what was held. `seen`: when hosts began and ended.
 pub fn judge(scene: &Scene, seen: &[Seen], held: &[Held]) -> Told {
     let period = scene.view.map_or(1.0, |v| v.period as f64);
+    // Past the day's end all are told to end.
+    let held: Vec<Held> = held.iter().filter(|h| h.asked < scene.length).cloned().collect();
     let mut record = Record { scene, period, lives: lives(seen), stops: stops(scene), ways: Vec::new() };
     let mut links = Links::new(scene.zones);
     record.ways.push((0, Links::new(scene.zones)));
@@ -104,10 +109,10 @@
         }
     }
     let mut told = Told::default();
-    record.settles(held, &mut told);
-    record.wrongly(held, &mut told);
-    record.unseen(held, &mut told);
-    back(seen, held, &mut told);
+    record.settles(&held, &mut told);
+    record.wrongly(&held, &mut told);
+    record.unseen(&held, &mut told);
+    back(seen, &held, &mut told);
     told
 }
 
@@ -192,6 +197,18 @@
         last.values().filter(|h| right(h)).for_each(|h| *sums.entry(h.sum).or_default() += 1);
         let shared = sums.iter().max_by_key(|s| s.1).map(|s| *s.0);
         let same = |h: &Held| right(h) && Some(h.sum) == shared;
+        for h in last.values().filter(|h| !same(h)) {
+            let wrong = |host: u32| {
+                let seen = h.members.iter().find(|m| m.0 == host).map(|m| m.1);
+                let is = running.contains(&host);
+                let fits = is == (seen == Some(State::Alive));
+                let open = matches!(seen, Some(State::Suspect | State::Joining | State::Leaving));
+                (!fits || open)
+                    .then(|| format!("{host} {}: {seen:?}", if is { "runs" } else { "does not run" }))
+            };
+            let wrong: Vec<String> = (0..self.scene.hosts).filter_map(wrong).collect();
+            told.differ.push(format!("host {} last told {:016x} with {}", h.host, h.sum, wrong.join(", ")));
+        }
         told.settled = (last.values().filter(|h| same(h)).count(), running.len());
         let quiet = self.quiet();
         let wrong = held.iter().filter(|h| h.asked >= quiet && running.contains(&h.host) && !same(h));
