--- a/crates/lab/src/fleet/play.rs
+++ b/crates/lab/src/fleet/play.rs
@@ -88,6 +88,45 @@
         )
     }
 
+    /// Hosts with a place in the view beside those without, in one run: waits of what was served, and processor time.
+    pub fn with_and_without(&self, scene: &Scene) -> Option<String> {
+        let view = scene.view.filter(|v| v.hosts.0 > 0 || v.hosts.1 < scene.hosts)?;
+        let mut asked = std::collections::BTreeMap::new();
+        let mut waits = [Vec::new(), Vec::new()];
+        for Seen { at, what } in &self.seen {
+            match *what {
+                What::Asked { op, host, .. } => drop(asked.insert(op, (*at, host))),
+                What::Answered { op, status: 200, .. } => {
+                    if let Some((from, host)) = asked.remove(&op) {
+                        waits[usize::from(view.of(host))].push(at - from);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let mut group = |with: bool| {
+            let waits = &mut waits[usize::from(with)];
+            waits.sort_unstable();
+            let at =
+                |part: f64| waits.get((waits.len() as f64 * part) as usize).map_or(0.0, |w| *w as f64 / 1e3);
+            let of = self
+                .uses
+                .iter()
+                .enumerate()
+                .filter(|(host, _)| view.of(*host as u32) == with)
+                .map(|u| u.1.cpu_ms);
+            let (sum, count) = of.fold((0, 0), |(sum, n), ms| (sum + ms, n + 1));
+            let cpu = sum as f64 / f64::from(count.max(1)) / (scene.length as f64 / 1e6);
+            let served = waits.len();
+            format!(
+                "{served} served, median {:.1} ms, p99 {:.1} ms, {cpu:.1} ms of processor time a second",
+                at(0.5),
+                at(0.99)
+            )
+        };
+        Some(format!("hosts with a view: {}\nhosts without: {}", group(true), group(false)))
+    }
+
     pub fn table(&self) -> String {
         use std::fmt::Write;
         let v = &self.verdict;
@@ -258,7 +297,7 @@
             if at > now {
                 break;
             }
-            if self.fleet.running(host) {
+            if self.fleet.running(host) && self.scene.view.is_some_and(|v| v.of(host)) {
                 self.world.look_at(host);
             }
             host = (host + 1) % self.scene.hosts;
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -50,6 +50,14 @@
     pub period: Micros,
     pub seeds: u32,
     pub keep: Micros,
+    /// Which hosts take part.
+    pub hosts: Some2,
+}
+
+impl ViewScene {
+    pub fn of(&self, host: u32) -> bool {
+        (self.hosts.0..self.hosts.1).contains(&host)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -209,7 +217,8 @@
             }
         }
         "view" => {
-            let mut view = ViewScene { period: 1_000_000, seeds: 3, keep: 3_600_000_000 };
+            let mut view =
+                ViewScene { period: 1_000_000, seeds: 3, keep: 3_600_000_000, hosts: Some2(0, u32::MAX) };
             while args.more() {
                 if args.literal("period") {
                     view.period = args.duration(SPAN).unwrap_or(view.period);
@@ -217,8 +226,10 @@
                     view.seeds = args.whole("hosts that are seeds", 1, 32).unwrap_or(1) as u32;
                 } else if args.literal("keep") {
                     view.keep = args.duration(SPAN).unwrap_or(view.keep);
+                } else if args.literal("hosts") {
+                    view.hosts = some(args).unwrap_or(view.hosts);
                 } else {
-                    args.value::<()>("period, seeds or keep", |_| None);
+                    args.value::<()>("period, seeds, keep or hosts", |_| None);
                 }
             }
             scene.view = Some(view);
@@ -449,7 +460,8 @@
             "keep_s": v.keep / 1_000_000,
         })
     });
-    let view = if scene.view.is_some() { format!(",\"fleet\":{view}") } else { String::new() };
+    let view =
+        if scene.view.is_some_and(|v| v.of(host)) { format!(",\"fleet\":{view}") } else { String::new() };
     format!(
         "{{\"name\":\"n{named}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
          \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{known},\"settings\":{settings}{view}}}",
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -212,8 +212,8 @@
     let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", dir.display());
     std::fs::create_dir_all(dir).map_err(|e| failed(&e))?;
     let mut table = csv::Writer::from_path(dir.join("fleet-view.csv")).map_err(|e| failed(&e))?;
-    for (kind, f) in &all {
-        table.serialize((kind.name(), f)).map_err(|e| failed(&e))?;
+    for (_, f) in &all {
+        table.serialize(f).map_err(|e| failed(&e))?;
     }
     table.flush().map_err(|e| failed(&e))?;
     let line = |name, kind, of: fn(&Figures) -> f64| -> plots::Line<'static> {
@@ -431,6 +431,7 @@
         if !quiet {
             print!("{}", outcome.table());
         }
+        outcome.with_and_without(&scene).iter().for_each(|text| println!("{text}"));
         let mut evidence = outcome.evidence(&scene);
         if name == STORM {
             // Calls are many here as hosts come and go, and are not what is tried.
--- a/crates/lab/src/view/figures.rs
+++ b/crates/lab/src/view/figures.rs
@@ -39,6 +39,7 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
 pub struct Figures {
+    pub kind: &'static str,
     pub hosts: usize,
     /// Seconds until one view: all started at once; some killed; healed after a cut in halves.
     pub start_s: f64,
@@ -67,7 +68,8 @@
         net.until(net.now + 1_000 / hosts as u64);
         net.start(host);
     }
-    let mut out = Figures { hosts, start_s: seconds(net.settles(MOST)), ..Figures::default() };
+    let mut out =
+        Figures { kind: kind.name(), hosts, start_s: seconds(net.settles(MOST)), ..Figures::default() };
     net.keep_changes = false;
     // What was to be told of the start has been told.
     net.until(net.now + REST);
@@ -156,6 +158,7 @@
     let seconds = periods as f64;
     let others = hosts as f64 - 1.0;
     Figures {
+        kind: Kind::Heartbeats.name(),
         hosts,
         start_s: 1.0,
         kill_s: wait as f64,
--- a/crates/lab/src/view/net.rs
+++ b/crates/lab/src/view/net.rs
@@ -237,10 +237,14 @@
         };
         let doubted =
             |f: &Fleet| f.view().any(|(_, s)| matches!(s, State::Suspect | State::Joining | State::Leaving));
+        // Sums last: where it has not settled, some host shows it before all are reckoned.
+        let mut fleets = self.running().filter_map(|h| self.fleet(h));
+        if !fleets.all(|f| !doubted(f) && up(f) == running) {
+            return false;
+        }
         let mut sums = self.running().filter_map(|h| self.fleet(h)).map(Fleet::sum);
         let first = sums.next();
         sums.all(|s| Some(s) == first)
-            && self.running().filter_map(|h| self.fleet(h)).all(|f| !doubted(f) && up(f) == running)
     }
 
     /// Goes on until the view has settled, so long at most: how long it took.
