No circles in the view's package nor in the rig: chance, states and addresses in files of their own

Moves without a change in behaviour: Luck out of fleet.rs (probe.rs took it back), State into word.rs (wire.rs took it from table.rs), the rig's Addresses out of world.rs (scene.rs took them).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,13 +4,12 @@
 mod ticking;
 
 use crate::Millis;
+use crate::luck::Luck;
 use crate::probe::Probe;
 use crate::settings::Settings;
-use crate::table::{Change, Doubt, Learnt, Member, ROOT, State, Table};
+use crate::table::{Change, Doubt, Learnt, Member, ROOT, Table};
 use crate::wire::{self, Body, Look, MOST, Message, PARTS, Packet, Range, Shown, Unread, Words};
-use crate::word::{Facts, Life, Told, Word, id};
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use crate::word::{Facts, Life, State, Told, Word, id};
 use std::net::SocketAddr;
 
 /// Ticks to a period.
@@ -56,22 +55,6 @@
     fn changed(&mut self, change: Change);
 }
 
-/// Chance that can be compared and hashed: drawn by seed and count.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Luck {
-    seed: u64,
-    draws: u64,
-}
-
-impl Luck {
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.draws += 1;
-        let mut rng =
-            Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(self.draws.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
-        rng.random_range(0..bound.max(1))
-    }
-}
-
 /// What came in and went out, for figures.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -137,7 +120,7 @@
 impl Fleet {
     /// `started`: Unix time in milliseconds, of which the generation is made.
     pub fn new(settings: Settings, seed: u64, now: Millis, started: u64) -> Self {
-        let mut luck = Luck { seed, draws: 0 };
+        let mut luck = Luck::new(seed);
         // Of two that start within one millisecond, one is the later.
         let generation = started << 12 | luck.below(1 << 12);
         let me = Word {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `settings`: periods and bounds. `wire`: datagrams. `table`: the view, what is told on, ranges that are compared.
 //! - `fleet`: a host's part in it. `probe`: whom it asks for a sign of life, and what it makes of none.
 mod fleet;
+mod luck;
 mod probe;
 pub mod settings;
 mod table;
@@ -17,7 +18,8 @@
 pub mod word;
 
 pub use fleet::{Carrier, Counts, Fleet};
-pub use table::{Change, State};
+pub use table::Change;
+pub use word::State;
 
 /// Milliseconds on the host's clock, which never goes back.
 pub type Millis = u64;
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -1,7 +1,7 @@
 //! Whom a host asks for a sign of life: each member once a round, in an order drawn anew for each. What it makes of
 //! no answer goes by its own health: one that was stopped or is short of time doubts itself first.
 use crate::Millis;
-use crate::fleet::Luck;
+use crate::luck::Luck;
 use crate::settings::Settings;
 
 /// Periods are stretched by up to so much for a host that doubts itself (Lifeguard).
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -3,8 +3,7 @@
 use crate::Millis;
 use crate::settings::{CONFIRMED, MEMBERS_MOST};
 use crate::wire::{Part, Range};
-use crate::word::{Facts, Life, Name, Told, Word, id};
-use serde::{Deserialize, Serialize};
+use crate::word::{Facts, Life, Name, State, Told, Word, id};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -14,17 +13,6 @@
 const STEP: u8 = 4;
 pub(crate) const ROOT: Range = Range { depth: 0, prefix: 0 };
 
-/// How a member stands in a view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum State {
-    Joining,
-    Alive,
-    Suspect,
-    Unreachable,
-    Leaving,
-    Left,
-}
-
 /// What changed in a view.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,7 +1,6 @@
 //! Datagrams. What can't be read, comes from another fleet or is of another version is dropped and counted.
 use crate::settings::Settings;
-use crate::table::State;
-use crate::word::{Name, Told, Word, id};
+use crate::word::{Name, State, Told, Word, id};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -19,6 +19,17 @@
     Left,
 }
 
+/// How a member stands in a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    Joining,
+    Alive,
+    Suspect,
+    Unreachable,
+    Leaving,
+    Left,
+}
+
 /// Versions that a member acts on; 0: none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Facts {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -7,6 +7,7 @@
 //! - `record`, `audit`: what passed on the sockets, and the rules held against it.
 //! - `storm`, `views`: faults drawn for a fleet that keeps a view of itself, and what its views are held against.
 //! - `scene`: a script of it. `play`: a scene played.
+pub mod addresses;
 pub mod audit;
 pub mod callers;
 pub mod links;
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -424,7 +424,7 @@
 pub fn config(
     scene: &Scene,
     (host, named): (u32, u32),
-    addresses: super::world::Addresses,
+    addresses: super::addresses::Addresses,
     list: u32,
     seed: u64,
     known: &str,
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -6,6 +6,7 @@
 mod nodes;
 mod ways;
 
+use super::addresses::Addresses;
 use super::callers::{Callers, Op};
 use super::links::{Fault, Links, Opening, Out, Party, Pipe, Side};
 use super::record::{Seen, What};
@@ -26,7 +27,7 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::fmt::Write;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub use ways::{Held, Viewed, Ways};
@@ -49,39 +50,13 @@
 const REMEMBERS: usize = 256;
 /// Idle connections that clients keep to one host.
 const KEPT: usize = 32;
-const PORT_HOST: u16 = 8443;
 const PORT_CLAIM: u16 = 1899;
-const PORT_LIST: u16 = 1900;
-const PORT_NODE: u16 = 2000;
-
-/// Loopback addresses of a run's own: every host has its own, at which it listens; every other party is reached by
-/// it at an address kept for it alone, which tells the ways apart.
-#[derive(Clone, Copy, Debug)]
-pub struct Addresses(u8);
 
 /// Kept while a run lasts: no other on this machine takes its addresses.
 struct Claim {
     _held: std::net::TcpListener,
 }
 
-impl Addresses {
-    fn of(self, host: u32, port: u16) -> SocketAddr {
-        SocketAddr::from((Ipv4Addr::new(127, self.0, (1 + host / 250) as u8, (1 + host % 250) as u8), port))
-    }
-
-    pub fn host(self, host: u32) -> SocketAddr {
-        self.of(host, PORT_HOST)
-    }
-
-    pub fn list(self, host: u32, list: u32) -> SocketAddr {
-        self.of(host, PORT_LIST + list as u16)
-    }
-
-    pub fn node(self, host: u32, node: u32) -> SocketAddr {
-        self.of(host, PORT_NODE + node as u16)
-    }
-}
-
 /// Where a host's connections to a party come in, and how that way stands.
 struct Door {
     host: u32,
@@ -606,7 +581,7 @@
 fn claim() -> Result<(Addresses, Claim), String> {
     let first = (std::process::id() * 7) % 200;
     for n in 0..200 {
-        let addresses = Addresses(20 + ((first + n) % 200) as u8);
+        let addresses = Addresses::new(20 + ((first + n) % 200) as u8);
         if let Ok(held) = std::net::TcpListener::bind(addresses.of(0, PORT_CLAIM)) {
             return Ok((addresses, Claim { _held: held }));
         }
--- a/crates/lab/src/fleet/world/ways.rs
+++ b/crates/lab/src/fleet/world/ways.rs
@@ -10,8 +10,6 @@
 
 /// Datagrams under way at most; what comes on top is lost, as on a crowded network.
 const UNDER_WAY: usize = 16_384;
-const PORT_FLEET: u16 = 7000;
-const PORT_WAY: u16 = 7100;
 const PORT_EYE: u16 = 7200;
 /// Datagrams read from one socket in one turn.
 const ROUND: usize = 256;
@@ -65,17 +63,6 @@
     pub bytes: Vec<u64>,
 }
 
-impl Addresses {
-    /// Where a host listens for its fleet, and where others reach it.
-    pub fn fleet(self, host: u32) -> SocketAddr {
-        self.of(host, PORT_FLEET)
-    }
-
-    pub fn way(self, host: u32) -> SocketAddr {
-        self.of(host, PORT_WAY)
-    }
-}
-
 impl World {
     pub(super) fn open_ways(&mut self) -> Result<(), String> {
         for host in 0..self.scene.hosts {
