What the gateway's processes open at their start stands in a room of its own: one circle less

Cause: desk, follow, lines, map and run stood in a circle, as lines.rs took Failure and listen from run.rs. Change: Failure, listen, control and signals moved to opening.rs, which run, catalog, tariffs and lines use; no behaviour is changed.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -3,7 +3,7 @@
 use crate::control::{self, Control};
 use crate::lines::{Bounds, Peer, Peers};
 use crate::nodes::{Nodes, Order};
-use crate::run::{self, Failure, failure, signals};
+use crate::opening::{self, Failure, failure, signals};
 use mallowseam_catalog::Catalog;
 use mallowseam_cow::cache::{layer_of, settle};
 use mallowseam_cow::cut::{Cut, Failed, Turn, leave};
@@ -115,7 +115,7 @@
         let address = settings.listen.expect("checked");
         let hosts_from = NODES + site.nodes.len();
         let hosts = Peers::open(address, poll, LISTENER, hosts_from, BOUNDS)?;
-        let control = run::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
+        let control = opening::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
         let catalog = Catalog::open(&settings.store)
             .map_err(|e| Failure::new(format!("{}: {e}", settings.store.display())))?;
         let initiator = format!("{}:catalog", site.host.target);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod list;
 mod map;
 mod nodes;
+mod opening;
 mod plan_cli;
 mod run;
 mod shares;
@@ -26,6 +27,7 @@
 pub use mallowseam_sockets::{clock, slots};
 
 pub use control::{Status, ask};
-pub use run::{Failure, run};
+pub use opening::Failure;
+pub use run::run;
 pub use tariffs::Asked;
 pub use terms::to_figures;
--- a/crates/gateway/src/lines.rs
+++ b/crates/gateway/src/lines.rs
@@ -1,5 +1,5 @@
 //! Connections that speak one JSON object a line: one side of one, and a service's side of many.
-use crate::run::{Failure, listen};
+use crate::opening::{Failure, listen};
 use crate::slots::Slots;
 use crate::wire::{self, Tried};
 use mio::net::{TcpListener, TcpStream};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
 use crate::list::List;
 use crate::map::Map;
 use crate::nodes::Nodes;
+use crate::opening::{Failure, control, failure, listen, signals};
 use crate::terms;
 use mallowseam_conduct::door::Door;
 use mallowseam_fleet::word::Facts;
@@ -19,13 +20,10 @@
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_settings::{Site, change};
 use mio::net::{TcpListener, UnixStream};
-use mio::{Events, Interest, Poll, Registry, Token};
+use mio::{Events, Poll, Token};
 use rand::Rng;
 use std::collections::VecDeque;
-use std::fmt;
-use std::io::{self, ErrorKind, Read};
-use std::net::SocketAddr;
-use std::path::Path;
+use std::io::{ErrorKind, Read};
 use std::rc::Rc;
 
 const LISTENER: Token = Token(0);
@@ -45,51 +43,6 @@
 const LOOK: Tick = 1_000;
 const MICROS: f64 = 1_000.0; // microseconds in a millisecond
 
-/// Why a host could not run.
-#[derive(Debug)]
-pub struct Failure(String);
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl Failure {
-    pub(crate) fn new(what: String) -> Self {
-        Failure(what)
-    }
-}
-
-pub(crate) fn failure(what: String) -> impl FnOnce(io::Error) -> Failure {
-    move |e| Failure(format!("{what}: {e}"))
-}
-
-/// A listener that the loop watches, and a handle to register what comes of it.
-pub(crate) fn listen(
-    address: SocketAddr,
-    poll: &Poll,
-    token: Token,
-) -> Result<(TcpListener, Registry), Failure> {
-    let mut listener = TcpListener::bind(address).map_err(failure(format!("listen {address}")))?;
-    let registry = poll.registry().try_clone().map_err(failure("poll".into()))?;
-    registry.register(&mut listener, token, Interest::READABLE).map_err(failure("poll".into()))?;
-    Ok((listener, registry))
-}
-
-/// The control socket, where the configuration has one.
-pub(crate) fn control(
-    path: Option<&Path>,
-    poll: &Poll,
-    own: Token,
-    first: usize,
-) -> Result<Option<Control>, Failure> {
-    let Some(path) = path else { return Ok(None) };
-    let registry = poll.registry().try_clone().map_err(failure("poll".into()))?;
-    let opened = Control::open(path, registry, own, first);
-    opened.map(Some).map_err(failure(format!("control {}", path.display())))
-}
-
 /// Whose turn it is to be read from.
 #[derive(Clone, Copy, PartialEq)]
 enum Turn {
@@ -134,7 +87,7 @@
         if let Err(e) = poll.poll(&mut events, wait)
             && e.kind() != ErrorKind::Interrupted
         {
-            return Err(Failure(format!("poll: {e}")));
+            return Err(Failure::new(format!("poll: {e}")));
         }
         gateway.desk.now = gateway.clock.now();
         // Time first: a host that was stopped must not take what has come since for late.
@@ -595,9 +548,3 @@
         }
     }
 }
-
-/// SIGTERM and SIGINT as bytes on a socket that the loop watches.
-pub(crate) fn signals(poll: &Poll, token: Token) -> io::Result<UnixStream> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    mallowseam_sockets::signals::pipe(poll, token, &[SIGTERM, SIGINT])
-}
--- a/crates/gateway/src/tariffs.rs
+++ b/crates/gateway/src/tariffs.rs
@@ -2,7 +2,7 @@
 use crate::clock::{Clock, millis};
 use crate::control::{self, Control};
 use crate::lines::{Bounds, Peer, Peers};
-use crate::run::{self, Failure, failure, signals};
+use crate::opening::{self, Failure, failure, signals};
 use crate::terms;
 use mallowseam_plans::deal::{ASK, GRANT, Pool};
 use mallowseam_plans::force::{Hosts, Waits};
@@ -77,7 +77,7 @@
         let settings = site.tariffs.clone().ok_or_else(|| Failure::new("no section tariffs".into()))?;
         let address = settings.listen.expect("checked");
         let peers = Peers::open(address, poll, LISTENER, MEMBERS, BOUNDS)?;
-        let control = run::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
+        let control = opening::control(settings.control.as_deref(), poll, CONTROL, CALLERS)?;
         let said = |e: mallowseam_trail::Fault| Failure::new(format!("{}: {e}", settings.store.display()));
         let mut store = Store::open(&settings.store).map_err(said)?;
         let fresh = store.trail().state.version == 0;
