Heartbeats in the view's model show what is played of them, and no set times

Of heartbeats to all the model plays loss and stops alone; times until one view were constants, and are no more told.

--- a/crates/lab/src/view/figures.rs
+++ b/crates/lab/src/view/figures.rs
@@ -160,9 +160,10 @@
     Figures {
         kind: Kind::Heartbeats.name(),
         hosts,
-        start_s: 1.0,
-        kill_s: wait as f64,
-        heal_s: 1.0,
+        // Not played: of heartbeats the rough part alone is. Their cost is reckoned.
+        start_s: f64::NAN,
+        kill_s: f64::NAN,
+        heal_s: f64::NAN,
         bytes_s: others * BYTES,
         datagrams_s: others,
         false_words_h: words as f64 * 3_600.0 / seconds,
