--- a/crates/fleet-udp/src/ask.rs
+++ b/crates/fleet-udp/src/ask.rs
@@ -67,24 +67,13 @@
     Err(last)
 }
 
-fn state(state: State) -> &'static str {
-    match state {
-        State::Joining => "joining",
-        State::Alive => "alive",
-        State::Suspect => "suspect",
-        State::Unreachable => "unreachable",
-        State::Leaving => "leaving",
-        State::Left => "left",
-    }
-}
-
 impl View {
     /// How many stand how, in words.
     pub fn counts(&self) -> String {
         let all =
             [State::Alive, State::Joining, State::Suspect, State::Unreachable, State::Leaving, State::Left];
         let count = |s| self.members.iter().filter(|m| m.state == s).count();
-        let some = all.into_iter().map(|s| (count(s), state(s))).filter(|c| c.0 > 0);
+        let some = all.into_iter().map(|s| (count(s), s.name())).filter(|c| c.0 > 0);
         some.map(|(n, s)| format!("{n} {s}")).collect::<Vec<_>>().join(", ")
     }
 
@@ -105,7 +94,7 @@
                 out,
                 "{:<20}{:<13}{:<10}{:<22}{:>8}{:>8}{:>9}{:>9}",
                 w.name,
-                state(m.state),
+                m.state.name(),
                 w.zone,
                 w.address.to_string(),
                 w.facts.list,
@@ -130,7 +119,7 @@
         serde_json::json!({
             "own": self.own, "alone": self.alone, "displaced": self.displaced, "view": format!("{:016x}", self.sum),
             "members": self.members.iter().map(|m| serde_json::json!({
-                "name": m.word.name.as_str(), "state": state(m.state), "zone": m.word.zone.as_str(),
+                "name": m.word.name.as_str(), "state": m.state.name(), "zone": m.word.zone.as_str(),
                 "address": m.word.address, "generation": m.word.generation, "incarnation": m.word.incarnation,
                 "list": m.word.facts.list, "plans": m.word.facts.plans, "started": m.word.started, "heard_ms": m.heard,
             })).collect::<Vec<_>>(),
@@ -142,13 +131,13 @@
         let find = |v: &'_ View, name: &str| v.members.iter().find(|m| m.word.name == name).cloned();
         let mut out = Vec::new();
         for m in &self.members {
-            let was = find(before, &m.word.name).map_or("unknown", |m| state(m.state));
-            if was != state(m.state) {
-                out.push(format!("{}: {was} -> {}", m.word.name, state(m.state)));
+            let was = find(before, &m.word.name).map_or("unknown", |m| m.state.name());
+            if was != m.state.name() {
+                out.push(format!("{}: {was} -> {}", m.word.name, m.state.name()));
             }
         }
         let gone = before.members.iter().filter(|m| find(self, &m.word.name).is_none());
-        out.extend(gone.map(|m| format!("{}: {} -> forgotten", m.word.name, state(m.state))));
+        out.extend(gone.map(|m| format!("{}: {} -> forgotten", m.word.name, m.state.name())));
         out
     }
 
@@ -160,7 +149,7 @@
         names.dedup();
         let seen = |v: &View, name: &str| {
             v.members.iter().find(|m| m.word.name == name).map_or("unknown".to_owned(), |m| {
-                format!("{} (generation {}, word {})", state(m.state), m.word.generation, m.word.incarnation)
+                format!("{} (generation {}, word {})", m.state.name(), m.word.generation, m.word.incarnation)
             })
         };
         let line = |name: &&str| {
--- a/crates/fleet-udp/src/part.rs
+++ b/crates/fleet-udp/src/part.rs
@@ -44,17 +44,6 @@
     }
 }
 
-fn word(state: State) -> &'static str {
-    match state {
-        State::Joining => "joining",
-        State::Alive => "alive",
-        State::Suspect => "suspect",
-        State::Unreachable => "unreachable",
-        State::Leaving => "leaving",
-        State::Left => "left",
-    }
-}
-
 impl Log {
     fn change(&mut self, change: Change, now: Millis) {
         self.turn(now);
@@ -67,9 +56,9 @@
             Change::Alone(false) => tracing::info!("other hosts of the fleet are heard again"),
             Change::Member { name, address, was, now, .. } => {
                 // A member that only says something new of itself is no news for the log.
-                if was != Some(now) && self.room(word(now)) {
-                    let was = was.map_or("unknown", word);
-                    tracing::info!(member = %name, %address, was, now = word(now), "fleet");
+                if was != Some(now) && self.room(now.name()) {
+                    let was = was.map_or("unknown", State::name);
+                    tracing::info!(member = %name, %address, was, now = now.name(), "fleet");
                 }
             }
             Change::Forgot { name } if self.room("forgotten") => {
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -30,6 +30,20 @@
     Left,
 }
 
+impl State {
+    /// As operators read it.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Joining => "joining",
+            State::Alive => "alive",
+            State::Suspect => "suspect",
+            State::Unreachable => "unreachable",
+            State::Leaving => "leaving",
+            State::Left => "left",
+        }
+    }
+}
+
 /// Versions that a member acts on; 0: none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Facts {
