A page of the view keeps no length beside the one it has just written

The length of the last page that fitted was kept only to be compared with a bound that it never passes. No behaviour is changed.

--- a/crates/fleet/src/fleet/comparing.rs
+++ b/crates/fleet/src/fleet/comparing.rs
@@ -111,7 +111,6 @@
             next: None,
         };
         let (mut buffer, mut page) = ([0; MOST], [0; MOST]);
-        let mut len = 0;
         for (key, m) in self.table.members.range(after..) {
             let heard = m.heard.map(|h| now.saturating_sub(h));
             let shown = Shown { word: m.word.clone(), state: m.state(), heard };
@@ -120,16 +119,15 @@
                 break;
             }
             look.next = None;
-            let fits = self.settings.write(&Message::Looked(look.clone()), &mut buffer).map(<[u8]>::len);
-            let Some(fits) = fits.filter(|l| *l <= most) else {
+            let written = self.settings.write(&Message::Looked(look.clone()), &mut buffer).map(<[u8]>::len);
+            if written.is_none_or(|len| len > most) {
                 look.members.pop();
                 look.next = Some(*key);
                 break;
-            };
-            len = fits;
+            }
         }
         let written = self.settings.write(&Message::Looked(look), &mut page).map(<[u8]>::len);
-        if let Some(len) = written.filter(|l| *l <= most.max(len)) {
+        if let Some(len) = written.filter(|l| *l <= most) {
             self.put(from, &page, len, out);
         }
     }
