The mark of a fingerprinted request passes on to its node

A node without the mark can't know a client's own repeat, which comes under another X-Request-ID. Test: a_node_gets_the_mark_by_which_it_knows_a_repeat, fails without (None), passes with; both were run.

--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -165,12 +165,24 @@
     Ok(Asked::Block(Block { id, group, plan, volume, piece, wait, units, shard, hosts }))
 }
 
-/// The request as a node gets it: method, target, body and id unchanged, the rest worded anew. `wait`:
-/// milliseconds that this host waits.
+/// What a node gets as the client worded it, beside method, target and body. The mark of a fingerprinted class is
+/// among it: by this a node knows a repeat, the client's own ones too, which come under other ids.
+const PASSED_ON: [&str; 7] = [
+    "Host",
+    "X-Request-ID",
+    "X-Priority-Class",
+    "X-Qos-Policy",
+    "X-Placement",
+    "Content-Type",
+    "Idempotency-Key",
+];
+
+/// The request as a node gets it: what passes on unchanged, the rest worded anew. `wait`: milliseconds that this host
+/// waits.
 pub fn write(out: &mut Vec<u8>, head: &RequestHead, body: &[u8], wait: u64) {
     let said = "writing to memory";
     write!(out, "{} {} HTTP/1.1\r\n", head.method, head.target).expect(said);
-    for name in ["Host", "X-Request-ID", "X-Priority-Class", "X-Qos-Policy", "X-Placement", "Content-Type"] {
+    for name in PASSED_ON {
         if let Ok(Some(value)) = head.headers.single(name) {
             write!(out, "{name}: {value}\r\n").expect(said);
         }
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -138,6 +138,17 @@
     assert_eq!(sent.headers.single("X-Request-ID"), Ok(Some("9b1f")));
     assert_eq!(sent.headers.single("X-Timeout-Ms"), Ok(Some("77")));
     assert_eq!(&out[sent.len..], b"hello");
+    assert_eq!(sent.headers.single("Idempotency-Key"), Ok(None), "none is made up");
+}
+
+#[test]
+fn a_node_gets_the_mark_by_which_it_knows_a_repeat() {
+    let text = write_with(|l| Some(l.replace("Host: ", "Idempotency-Key: cd869d0740eecfe7\r\nHost: ")));
+    let head = RequestHead::read(text.as_bytes(), BOUNDS).expect("sound").expect("whole");
+    let mut out = Vec::new();
+    request::write(&mut out, &head, b"hello", 77);
+    let sent = RequestHead::read(&out, BOUNDS).expect("sound").expect("whole");
+    assert_eq!(sent.headers.single("Idempotency-Key"), Ok(Some("cd869d0740eecfe7")));
 }
 
 fn said(text: &str) -> answer::Said {
