Calls to a moved list are not put off; what may have run goes where it may, or is answered

- listed(Failed) set ask_at anew whatever stood there.
After SIGHUP the call to the new service is drawn below 2 s (list_moved); the old service closes its watch 1.5 s later, and the call moved to as much as ask_span, 8 s with 300 hosts and 10 s to ask, where what the new one tells counts after 4 s.
Now the sooner of the two holds.
- place drew among all nodes that hold the shard; for a new object whose submit may have run within one cell or zone it drew nodes that may_send then refuses, and the block I/O was held to its goal.
- A fingerprinted block I/O held past its nodes' memory was kept to its goal, though it could not be sent any more.
Its goal now ends with the memory.

Terms can be compared (host.rs), which SIGHUP needs.

--- a/crates/scheduler/src/host.rs
+++ b/crates/scheduler/src/host.rs
@@ -68,7 +68,7 @@
     SideEffecting,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct IoGroup {
     pub effect: Effect,
     /// Latency goal, and the part of the gain that an answer past it still earns.
@@ -80,7 +80,7 @@
 }
 
 /// What a volume has bought; rates in units a second.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     pub usual: f64,
     pub reserve: f64,
@@ -91,7 +91,7 @@
 }
 
 /// What the deployment allows and asks for, as told at start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Terms {
     pub hosts: u32,
     pub groups: Vec<IoGroup>,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! The decisions of mallowseam: which block I/O goes to its storage node, when, and which is turned away.
 //!
-//! Make a `Scheduler` with the deployment's `Terms`, then call `listed`, `take`, `ended`, `gone`, `probed`,
-//! `heard` and `woken` as things happen, each with the time and the `Host` that carries the answers out.
+//! Make a `Scheduler` with the deployment's `Terms`, then call `listed`, `take`, `ended`, `gone` and `woken`
+//! as things happen, each with the time and the `Host` that carries the answers out.
 //! Host, terms and index types are in `host.rs`; `docs/design.md` tells what is kept of the paper.
 
 use crate::host::*;
@@ -303,8 +303,8 @@
         };
         let short_goal = terms.groups.iter().map(|g| g.goal).min().unwrap_or(WINDOW).max(1) as f64;
         let mut pcg = Pcg::new(seed);
-        // All hosts together ask no more than the list service handles, whoever else starts or lost it too, as
-        // far as the rule on drains lets them wait: it holds them to what they would have been told.
+        // All hosts together ask no more than the list service handles, whoever else starts or lost it, as far
+        // as the rule on drains lets them wait: it holds them to what they would have been told.
         let part = if terms.ask_within > 0 { ASK_PART * terms.ask_within as f64 } else { f64::INFINITY };
         let may_wait = if terms.list_pushed { ASK_FIRST } else { part as Tick };
         let turns = terms.ask_turn.unwrap_or(ASK_TURN) * Tick::from(terms.hosts);
@@ -360,7 +360,9 @@
             let silent = form == ListForm::Silent && !std::mem::replace(&mut self.silent, true);
             let most = if silent { ASK_SILENT } else { Tick::MAX };
             let drawn = self.pcg.below(self.ask_span.min(most) as u64) as Tick;
-            self.ask_at = now + if silent || self.ask_wait == 0 { drawn } else { self.ask_wait };
+            let wait = if silent || self.ask_wait == 0 { drawn } else { self.ask_wait };
+            // A call that is due sooner, to another service or after silence, is not put off.
+            self.ask_at = self.ask_at.min(now + wait);
             self.ask_wait = (self.ask_wait * 2).clamp(self.ask_span, self.ask_span.max(ASK_MOST));
             return self.sleep(host, now);
         }
@@ -493,6 +495,9 @@
         let slot = &mut self.slots[id.0];
         if !matches!(outcome.ending, Ending::Busy | Ending::NoConnect | Ending::Moot) {
             slot.ran = slot.ran.or(Some((sent, at)));
+            if let Effect::Fingerprinted { memory, .. } = self.groups[slot.bio.group as usize].effect {
+                slot.goal = slot.ran.map_or(slot.goal, |ran| slot.goal.min(ran.0 + memory - LAST_CALL));
+            }
         }
         if self.counts_others && outcome.ending == Ending::Done {
             // After a silence the count is of long ago: more than a store's worth says no more than that.
@@ -545,10 +550,6 @@
         })
     }
 
-    pub fn probed(&mut self, _host: &mut dyn Host, _now: Tick, _node: NodeId, _outcome: &Outcome) {}
-
-    pub fn heard(&mut self, _host: &mut dyn Host, _now: Tick, _from: u32, _bytes: &[u8]) {}
-
     /// The time asked for with `wake` has come.
     pub fn woken(&mut self, host: &mut dyn Host, now: Tick) {
         if now >= self.waking {
@@ -896,18 +897,19 @@
         if self.plans[vol.plan].limit.is_finite() && !slot.drew && short {
             return false;
         }
-        slot.ran.is_none_or(|(sent, first)| match group.effect {
-            Effect::Idempotent => true,
-            Effect::SideEffecting => false,
-            Effect::Fingerprinted { scope, memory } => {
-                let (a, b) = (self.nodes.get(first.0), &self.nodes[at.0]);
-                now + LAST_CALL < sent + memory
-                    && match scope {
-                        Scope::All => true,
-                        Scope::Zone => a.is_some_and(|a| a.zone == b.zone),
-                        Scope::Cell => a.is_some_and(|a| a.shard == b.shard),
-                    }
-            }
+        Self::may_run(&self.nodes, slot, group.effect, now, &self.nodes[at.0])
+    }
+
+    /// The rule on effects: where a block I/O may go that may have run elsewhere.
+    fn may_run(nodes: &Slab<Node>, slot: &Slot, effect: Effect, now: Tick, b: &Node) -> bool {
+        slot.ran.is_none_or(|(sent, first)| match (effect, nodes.get(first.0)) {
+            (Effect::Idempotent, _) => true,
+            (Effect::Fingerprinted { scope, memory }, a) if now + LAST_CALL < sent + memory => match scope {
+                Scope::All => true,
+                Scope::Zone => a.is_some_and(|a| a.zone == b.zone),
+                Scope::Cell => a.is_some_and(|a| a.shard == b.shard),
+            },
+            _ => false,
         })
     }
 
@@ -1031,7 +1033,9 @@
         // Two at random, the one with the shorter line. A shard has one node, but for a release that brings
         // the next one up, cold, while the last is still warm: then both serve.
         let nodes = &self.nodes;
-        let fits = |n: &(u32, &Node)| n.1.open && bio.shard.is_none_or(|shard| n.1.shard == shard);
+        let effect = self.groups[bio.group as usize].effect;
+        let holds = |n: &Node| n.open && bio.shard.is_none_or(|shard| n.shard == shard);
+        let fits = |n: &(u32, &Node)| holds(n.1) && Self::may_run(nodes, slot, effect, now, n.1);
         let count = nodes.iter().filter(fits).count();
         if count == 0 {
             self.give_up(host, now, id);
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -69,6 +69,68 @@
     assert_eq!((s.count(Did::Failed(0)), s.count(Did::Shed(0))), (1, 0));
 }
 
+#[test]
+fn a_fingerprint_that_its_nodes_forget_while_it_is_held_is_answered_then_and_not_at_its_goal() {
+    let mut t = terms();
+    t.groups[3].goal = 8_000;
+    t.groups[3].effect = Effect::Fingerprinted { scope: Scope::Cell, memory: 1_000 };
+    let mut s = Story::new(&t);
+    let start = s.log.now;
+    s.take(Bio { group: 3, ..s.bio(0) });
+    (1..5).for_each(|id| s.take(s.bio(id)));
+    s.pass(500);
+    // Its node fails again and again, and is left alone for longer than it remembers.
+    (1..5).for_each(|id| s.end(id, 0, Ending::Error, 500));
+    s.end(0, 0, Ending::Reset, 500);
+    s.pass(LIMIT);
+    assert_eq!((s.count(Did::Failed(0)), to(&s, 0)), (1, vec![0]));
+    assert!(told(&s, 0)[0] <= start + 1_000, "{:?} from {start}", told(&s, 0));
+}
+
+#[test]
+fn a_new_object_that_may_have_run_goes_on_in_its_cell_or_is_answered_at_once() {
+    for seed in 0..20 {
+        let mut s = Story::new(&terms());
+        let new = |s: &Story, id| Bio { group: 3, shard: None, ..s.bio(id) };
+        (0..seed).for_each(|id| s.take(Bio { group: 0, ..new(&s, id) }));
+        s.log.did.clear();
+        s.take(new(&s, 100));
+        let Some(first) = to(&s, 100).first().copied() else { continue };
+        // Its cell's only node closes with the outcome on its way.
+        s.list(ListForm::Changes, &[node(first, NodeState::Leaving, 0)]);
+        let now = s.log.now;
+        s.end(100, first, Ending::Reset, 10);
+        assert_eq!((to(&s, 100), told(&s, 100)), (vec![first], vec![now]), "after {seed}");
+    }
+}
+
+/// The nodes to which a block I/O was sent.
+fn to(s: &Story, id: u32) -> Vec<u32> {
+    s.log
+        .did
+        .iter()
+        .filter_map(|d| if let Did::Sent(i, n) = d.1 { (i == id).then_some(n) } else { None })
+        .collect()
+}
+
+#[test]
+fn a_call_to_another_service_is_not_put_off_by_the_end_of_the_old_ones_watch() {
+    let terms = Terms { hosts: 300, ask_within: 100_000, ..terms() };
+    for seed in 0..20 {
+        let mut s = Story::starting(&terms, seed);
+        s.pass(100_000);
+        s.list(ListForm::Changes, &[]);
+        s.log.did.clear();
+        let from = s.log.now;
+        s.moved();
+        s.pass(5);
+        s.list(ListForm::Failed, &[]);
+        s.pass(90_000);
+        let at = s.log.did.iter().find(|d| d.1 == Did::Asked).expect("it asks").0;
+        assert!(at - from <= 20_100, "{} after the word", at - from);
+    }
+}
+
 #[test]
 fn events_for_a_block_io_that_is_over_change_nothing_also_in_a_reused_place() {
     let mut s = Story::new(&terms());
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -377,22 +377,18 @@
             line.whole("mark")?;
             guarded(&mut Answers { i, names, out }, |host| scheduler.woken(host, now));
         }
+        // The scheduler sends no probes and tells other hosts nothing: what comes of either is read, and no more.
         "sampled" => {
             let brick = line.text("brick")?.to_owned();
-            let ending = line.ending()?;
-            let wait = line.time("wait_time_us")?.div_euclid(MICROS);
-            let report = line.report()?;
-            let node = names.nodes.find(&brick);
-            let node = NodeId(node.ok_or_else(|| line.wrong("brick", "a node of the list"))?);
-            let outcome = Outcome { ending, node, closed: false, wait, by_others: 0.0, used: 0.0, report };
-            let mut host = Answers { i, names, out };
-            guarded(&mut host, |host| scheduler.probed(host, now, node, &outcome));
+            line.ending()?;
+            line.time("wait_time_us")?;
+            line.report()?;
+            names.nodes.find(&brick).ok_or_else(|| line.wrong("brick", "a node of the list"))?;
         }
         "heard" => {
-            let from = line.whole("author")? as u32;
+            line.whole("author")?;
             let bytes = STANDARD.decode(line.next().unwrap_or_default());
-            let bytes = bytes.map_err(|_| line.wrong("octets", "base64 with padding"))?;
-            guarded(&mut Answers { i, names, out }, |host| scheduler.heard(host, now, from, &bytes));
+            bytes.map_err(|_| line.wrong("octets", "base64 with padding"))?;
         }
         // No group here streams its answers: a start of one changes nothing.
         _ => drop(line.whole("xid")?),
