--- a/crates/conduct/src/watch.rs
+++ b/crates/conduct/src/watch.rs
@@ -1,10 +1,10 @@
-//! When a call to the node list service has failed.
+//! When a call to the node list service has failed, and which of two calls counts.
 use crate::Millis;
 
 /// From a call to the head of its answer: the service lets a call wait its turn for a second at most, and whoever
 /// waits longer only stands in the way of others.
 const ANSWERED_WITHIN: Millis = 1_200;
-/// A whole list comes within this.
+/// From the call to its first whole line, a list of any length, once its head has come.
 const WHOLE_WITHIN: Millis = 4_000;
 /// A watch with nothing to tell says so every 2 s. One sign missed and 1.2 s more for a slow one, and it is dead: what
 /// it misses counts as told 6 s after it fell silent, and calling anew takes the rest.
@@ -13,28 +13,74 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
     asked: Millis,
+    answered: bool,
+    /// When its last whole line came: bytes without an end are no sign of life.
     heard: Option<Millis>,
-    once: bool,
+    /// It was told to have fallen silent.
+    doubted: bool,
 }
 
 impl Watch {
-    /// A call at this time; `once`: for the whole list, not for changes.
-    pub fn new(now: Millis, once: bool) -> Self {
-        Watch { asked: now, heard: None, once }
+    /// A call at this time.
+    pub fn new(now: Millis) -> Self {
+        Watch { asked: now, answered: false, heard: None, doubted: false }
     }
 
-    pub fn heard(&mut self, now: Millis) {
-        self.heard = Some(now);
+    /// The head of its answer has come.
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+
+    /// A whole line has come; whether it is the first.
+    pub fn heard(&mut self, now: Millis) -> bool {
+        self.heard.replace(now).is_none()
     }
 
     /// When it has failed unless something is heard before.
     pub fn fails_at(&self) -> Millis {
         match self.heard {
+            None if self.answered => self.asked + WHOLE_WITHIN,
             None => self.asked + ANSWERED_WITHIN,
-            Some(_) if self.once => self.asked + WHOLE_WITHIN,
             Some(heard) => heard + SILENT,
         }
     }
+
+    /// Whether it has failed by now; told once. A service may take its silence for a watch that stands, so another is
+    /// called beside it, and it is listened to until that one has spoken.
+    pub fn fails(&mut self, now: Millis) -> bool {
+        let fails = !self.doubted && now >= self.fails_at();
+        self.doubted |= fails;
+        fails
+    }
+}
+
+/// Two places for calls to the list service: the last one made, and the one before it, which is listened to until the
+/// last has spoken. A host whose watch has fallen silent is so never without a call on which a service that comes
+/// back could tell it; a third call takes the place of the oldest.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pair {
+    last: usize,
+}
+
+impl Pair {
+    /// The place of the next call, which is the last one from now on: what stands there is given up. `stands`: whether
+    /// the last one does.
+    pub fn next(&mut self, stands: bool) -> usize {
+        if stands {
+            self.last = 1 - self.last;
+        }
+        self.last
+    }
+
+    /// Whether what befalls the call at a place decides whether the host has a watch.
+    pub fn is_last(&self, at: usize) -> bool {
+        at == self.last
+    }
+
+    /// The call at a place has spoken: the place of the one that it takes over from.
+    pub fn spoke(&self, at: usize) -> Option<usize> {
+        self.is_last(at).then_some(1 - at)
+    }
 }
 
 #[cfg(test)]
@@ -43,7 +89,7 @@
 
     #[test]
     fn a_call_without_an_answer_and_a_watch_without_a_sign_of_life_have_failed() {
-        let mut watch = Watch::new(100, false);
+        let mut watch = Watch::new(100);
         assert_eq!(watch.fails_at(), 100 + ANSWERED_WITHIN);
         watch.heard(900);
         assert_eq!(watch.fails_at(), 900 + SILENT);
@@ -53,10 +99,33 @@
 
     #[test]
     fn a_list_that_trickles_in_has_its_time_from_the_call_on() {
-        let mut once = Watch::new(0, true);
-        for at in [1_000, 2_000, 3_900] {
-            once.heard(at);
-        }
-        assert_eq!(once.fails_at(), WHOLE_WITHIN);
+        let mut watch = Watch::new(0);
+        // The head, and then bytes without a line's end, which are not told here at all.
+        watch.answered();
+        assert_eq!(watch.fails_at(), WHOLE_WITHIN);
+        assert!(watch.heard(3_900) && !watch.heard(5_900));
+        assert_eq!(watch.fails_at(), 5_900 + SILENT);
+    }
+
+    #[test]
+    fn silence_is_told_once() {
+        let mut watch = Watch::new(0);
+        watch.heard(10);
+        assert!(!watch.fails(10 + SILENT - 1) && watch.fails(10 + SILENT) && !watch.fails(90_000));
+    }
+
+    #[test]
+    fn a_call_beside_one_that_stands_takes_the_other_place_and_one_behind_a_failed_one_its_own() {
+        let mut pair = Pair::default();
+        let first = pair.next(false);
+        let second = pair.next(true);
+        assert!(first != second && pair.is_last(second) && !pair.is_last(first));
+        assert_eq!(
+            (pair.spoke(second), pair.spoke(first)),
+            (Some(first), None),
+            "the old one takes nothing over"
+        );
+        assert_eq!(pair.next(false), second, "the second failed, and the first is still listened to");
+        assert_eq!(pair.next(true), first, "a third takes the oldest one's place");
     }
 }
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -1,4 +1,8 @@
 //! `mallowseam host` between small stand-ins: what passes on the sockets is what counts.
+mod crossings;
+mod ending;
+mod lists;
+mod service;
 mod stand;
 
 use stand::{Answer, Client, Discovery, Rig, until};
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -2,6 +2,7 @@
 use mallowseam_http1::{AnswerHead, AnswerReader, Bounds, RequestHead, RequestReader};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -23,6 +24,38 @@
     }
 }
 
+/// A row of the system's table of sockets.
+struct Row {
+    from: String,
+    to: String,
+    state: String,
+    /// Bytes sent that the other side's socket does not have yet.
+    under_way: bool,
+}
+
+fn sockets() -> Vec<Row> {
+    let all = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    let row = |line: &str| {
+        let mut fields = line.split_whitespace().skip(1).map(str::to_owned);
+        let (from, to, state) = (fields.next()?, fields.next()?, fields.next()?);
+        Some(Row { from, to, state, under_way: !fields.next()?.starts_with("00000000:") })
+    };
+    all.lines().skip(1).filter_map(row).collect()
+}
+
+/// An address as that table has it.
+fn hex(at: SocketAddr) -> String {
+    let SocketAddr::V4(at) = at else { panic!("IPv4") };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port())
+}
+
+/// Waits until all that was written to a socket stands in the other side's.
+pub fn delivered(socket: &TcpStream) {
+    let (from, to) = (socket.local_addr().expect("bound"), socket.peer_addr().expect("open"));
+    let (from, to) = (hex(from), hex(to));
+    until("it is delivered", || !sockets().iter().any(|s| s.from == from && s.to == to && s.under_way));
+}
+
 pub fn read_text(id: &str, shard: u32, wait: u64) -> String {
     format!(
         "GET /look/00000000000000aa/00000000000000bb HTTP/1.1\r\nHost: s\r\nX-Request-ID: {id}\r\n\
@@ -124,32 +157,99 @@
     closed: AtomicUsize,
     released: (Mutex<bool>, Condvar),
     stopped: AtomicBool,
+    /// Its connections, by number, and what is said on each before anything is read.
+    open: Mutex<Vec<TcpStream>>,
+    greeting: Mutex<String>,
 }
 
 pub struct Node {
     at: SocketAddr,
     work: Arc<Work>,
+    /// Those who stand in its queue until it is opened, and its listener.
+    queue: Mutex<Vec<TcpStream>>,
+    shut: Mutex<Option<TcpListener>>,
 }
 
 impl Node {
     pub fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
-        let (at, work) = (listener.local_addr().expect("bound"), Arc::new(Work::default()));
-        let own = work.clone();
+        let node = Node::shut();
+        node.open();
+        node
+    }
+
+    /// A node whose queue of connections is full until it is opened: whoever connects waits for it.
+    pub fn shut() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        listener.bind(&any.into()).expect("an address");
+        listener.listen(0).expect("a queue");
+        let listener = TcpListener::from(listener);
+        let at = listener.local_addr().expect("bound");
+        let shut = Mutex::new(Some(listener));
+        Node { at, work: Arc::default(), queue: Mutex::default(), shut }
+    }
+
+    /// Fills its queue: from here on nobody's connection comes up.
+    pub fn filled(self) -> Self {
+        while let Ok(one) = TcpStream::connect_timeout(&self.at, Duration::from_millis(100)) {
+            self.queue.lock().expect("sound").push(one);
+        }
+        self
+    }
+
+    /// Those who wait for a connection to it.
+    pub fn waiting(&self) -> usize {
+        sockets().iter().filter(|s| s.to == hex(self.at) && s.state == "02").count()
+    }
+
+    /// What it says on every connection before it has read a byte.
+    pub fn greets(&self, text: &str) {
+        text.clone_into(&mut self.work.greeting.lock().expect("sound"));
+    }
+
+    /// Says something on a connection of its own accord; it stands in the other's socket.
+    pub fn push(&self, connection: usize, text: &str) {
+        let open = self.work.open.lock().expect("sound");
+        let mut socket = &open[connection];
+        socket.write_all(text.as_bytes()).expect("open");
+        delivered(socket);
+    }
+
+    /// Closes all its connections.
+    pub fn hang_up(&self) {
+        for socket in self.work.open.lock().expect("sound").drain(..) {
+            let _ = socket.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Lets in whoever comes; those who stood in its queue leave.
+    pub fn open(&self) {
+        let Some(listener) = self.shut.lock().expect("sound").take() else { return };
+        SockRef::from(&listener).listen(1_024).expect("a queue");
+        self.queue.lock().expect("sound").clear();
+        let own = self.work.clone();
         thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
+            for mut socket in listener.incoming().flatten() {
                 if own.stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let connection = own.connections.fetch_add(1, Ordering::SeqCst);
+                let greeting = own.greeting.lock().expect("sound").clone();
+                let _ = socket.write_all(greeting.as_bytes());
+                let ends = socket.try_clone().expect("a descriptor");
+                let connection = {
+                    let mut open = own.open.lock().expect("sound");
+                    open.push(socket.try_clone().expect("a descriptor"));
+                    open.len() - 1
+                };
+                own.connections.fetch_add(1, Ordering::SeqCst);
                 let own = own.clone();
                 thread::spawn(move || {
                     own.serve(socket, connection);
+                    let _ = ends.shutdown(std::net::Shutdown::Both);
                     own.closed.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Node { at, work }
     }
 
     pub fn entry(&self, name: &str, shard: u32, health: &str) -> String {
@@ -159,6 +259,11 @@
         )
     }
 
+    /// Answers well from now on, whatever was set.
+    pub fn forget(&self) {
+        self.work.next.lock().expect("sound").clear();
+    }
+
     pub fn next(&self, answer: Answer) {
         self.work.next.lock().expect("sound").push_back(answer);
     }
@@ -320,7 +425,7 @@
   "profiles": [
     {"name": "look", "aim_us": 300000, "deadline_us": 1000000, "repeat": "idempotent", "worth": 3.0},
     {"name": "book", "aim_us": 300000, "deadline_us": 2000000, "repeat": "at_most_once", "worth": 3.0}],
-  "service_levels": [{"name": "gold", "floor_rate": 900.0, "usual_rate": 900.0, "weight": 1.0, "worth_factor": 1.0}],
+  "service_levels": [{"name": "gold", "floor_rate": 900.0, "usual_rate": 900.0, "limit": 0.0, "weight": 1.0, "worth_factor": 1.0}],
   "extra": {"class_writes": [false, true], "largest": 8, "mean_units": 1.0, "within_share": 0.5, "spare_worth": 0.1},
   "limits": {"cancel": true, "max_attempts": 3, "retry_after": true, "max_retry_after_us": 1000000, "idle_close_us": 30000000, "connect_timeout_us": 250000},
   "rules": {"drain_grace_us": 250000, "ask_within_us": 10000000}}"#;
@@ -406,8 +511,19 @@
 
     /// The same with another configuration, made of the usual one and the first node's entry in the list.
     pub fn with(nodes: usize, change: impl Fn(String, &str) -> String) -> Rig {
+        Rig::of((0..nodes).map(|_| Node::new()).collect(), change)
+    }
+
+    /// The same before these nodes.
+    pub fn of(nodes: Vec<Node>, change: impl Fn(String, &str) -> String) -> Rig {
+        let rig = Rig::unready(nodes, change);
+        until("the host is ready", || is_ready(rig.at));
+        rig
+    }
+
+    /// The same, not waited for: a host that knows no node is not ready.
+    pub fn unready(nodes: Vec<Node>, change: impl Fn(String, &str) -> String) -> Rig {
         let at = address();
-        let nodes: Vec<Node> = (0..nodes).map(|_| Node::new()).collect();
         let entry = nodes[0].entry("s-0", 0, "ready");
         let discovery = Discovery::new(&entry, 41);
         let dir = tempfile::tempdir().expect("a directory");
@@ -416,9 +532,7 @@
         let mut host = start(&path);
         let mut log = host.stderr.take().expect("piped");
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        let rig = Rig { dir, host, at, nodes, discovery, count: AtomicU64::new(0) };
-        until("the host is ready", || is_ready(at));
-        rig
+        Rig { dir, host, at, nodes, discovery, count: AtomicU64::new(0) }
     }
 
     pub fn config(&self, discovery: &Discovery) -> String {
@@ -429,6 +543,10 @@
         std::fs::write(self.dir.path().join("config.json"), text).expect("a file");
     }
 
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
     pub fn client(&self) -> Client {
         connect(self.at).expect("the host listens")
     }
@@ -447,6 +565,23 @@
         line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
     }
 
+    /// Holds the host: what comes meanwhile it finds in one round, once it is let go.
+    pub fn stop(&self) {
+        self.signal(Signal::SIGSTOP);
+        let path = format!("/proc/{}/stat", self.host.id());
+        until("the host stands still", || {
+            let stat = std::fs::read_to_string(&path).expect("a process");
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        });
+    }
+
+    /// Lets it go on once all that its clients have sent stands in its sockets.
+    pub fn go_on(&self) {
+        let at = hex(self.at);
+        until("all is delivered", || !sockets().iter().any(|s| s.to == at && s.under_way));
+        self.signal(Signal::SIGCONT);
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.host.id() as i32), signal).expect("a process");
     }
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -442,7 +442,7 @@
         "service_levels": [
             {"name": "basic", "floor_rate": 0.5, "usual_rate": 1.0, "weight": 1.0, "worth_factor": 0.7,
              "limit": LIMIT.0, "limit_burst": LIMIT.1},
-            {"name": "priority", "floor_rate": 1.2, "usual_rate": 2.0, "weight": 6.0, "worth_factor": 1.5}],
+            {"name": "priority", "floor_rate": 1.2, "usual_rate": 2.0, "limit": 0.0, "weight": 6.0, "worth_factor": 1.5}],
         "extra": {"class_writes": [false, true], "largest": w.largest, "mean_units": 1.6, "within_share": 0.35,
                   "spare_worth": 0.1, "cold_bears": m.cold_bears},
         "limits": {"cancel": true, "max_attempts": 3, "retry_after": true, "max_retry_after_us": 1_000_000,
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -240,7 +240,7 @@
             self.hosts[host as usize].call = Some(call);
             let way = WAY + self.rng.random_range(0..WAY);
             self.after(way, Event::Arrives(host, call));
-            self.after(Watch::new(0, false).fails_at() * 1_000, Event::GivesUp(host, call));
+            self.after(Watch::new(0).fails_at() * 1_000, Event::GivesUp(host, call));
         }
     }
 }
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -32,6 +32,15 @@
     fn bytes(&self) -> usize {
         self.buffer.capacity() + self.out.capacity()
     }
+
+    /// Whether more of a request has come that was not read yet.
+    fn may_ask(&mut self) -> bool {
+        if !matches!(self.guest.doing(), Doing::Silent | Doing::Midway | Doing::Idle) {
+            return false;
+        }
+        self.readable |= matches!(self.socket.peek(&mut [0]), Ok(n) if n > 0);
+        self.readable
+    }
 }
 
 /// What a look at a client's connection came to.
@@ -111,14 +120,17 @@
     /// A connection was accepted: it has a place, another gives way, or it is closed.
     pub fn enter(&mut self, mut socket: TcpStream, now: Millis) {
         self.counts.accepted += 1;
-        if self.full() {
+        while self.full() {
             // One with something to read has not been looked at yet: it may just have sent its request.
             let looked = self.all.iter().filter(|(_, c)| !c.queued && !c.readable);
             let Some(at) = front::gives_way(looked.map(|(at, c)| (at, &c.guest)), now) else {
                 self.counts.turned_off += 1;
                 return;
             };
-            self.close(at);
+            match self.all.get_mut(at).is_some_and(Client::may_ask) {
+                true => self.queue(at),
+                false => self.close(at),
+            }
         }
         let _ = socket.set_nodelay(true);
         let at = self.all.next();
@@ -372,7 +384,9 @@
         for at in 0..self.all.places() {
             let Some(client) = self.all.get_mut(at) else { continue };
             match client.guest.care(now, self.leaving) {
-                Care::Close if client.readable && client.guest.doing() == Doing::Idle => self.queue(at),
+                // What stands in its socket is looked at first: it may be a whole request.
+                Care::Close | Care::Late if client.queued => {}
+                Care::Close | Care::Late if client.may_ask() => self.queue(at),
                 Care::Close => self.close(at),
                 Care::Late => self.end(at, 408, "the request is late", now),
                 Care::Nothing
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -48,9 +48,8 @@
     held: Slots<Held>,
     came: VecDeque<Came>,
     pub wake_at: Option<Tick>,
-    /// What the scheduler wants of the list service.
+    /// The scheduler wants the list service called.
     pub wants_watch: bool,
-    pub wants_list: bool,
     listed: Vec<Listed>,
 }
 
@@ -68,7 +67,6 @@
             came: VecDeque::new(),
             wake_at: None,
             wants_watch: false,
-            wants_list: false,
             listed: Vec::new(),
         }
     }
@@ -120,6 +118,7 @@
         if let Some(at) = self.held.get_mut(bio.0).and_then(|h| h.client.take()) {
             self.counts.left += 1;
             let now = self.now;
+            self.take_back(bio);
             scheduler.gone(self, now, bio);
             // It may have closed only its own side; then this still tells it.
             self.clients.answer(at, answer::FAILED, b"", 0, self.millis());
@@ -127,6 +126,29 @@
         }
     }
 
+    /// A submit of which no last byte has gone is taken back with its client, whether or not the settings allow to
+    /// call off what has: nothing has run, and nobody wants it to any more.
+    fn take_back(&mut self, bio: BioId) {
+        let Some(held) = self.held.get_mut(bio.0) else { return };
+        if let Some(line) = held.line.filter(|line| self.nodes.unsent(*line, bio)) {
+            held.line = None;
+            self.came.extend(self.nodes.cut(line, bio));
+        }
+    }
+
+    /// The host is about to be killed: what it still has in hand gets its final answer.
+    pub fn close_all(&mut self, scheduler: &mut Scheduler) {
+        for at in self.held.indices() {
+            let Some(held) = self.held.get(at).filter(|h| h.client.is_some()) else { continue };
+            let status = if held.submits == 0 { answer::SHED } else { answer::FAILED };
+            self.take_back(BioId(at));
+            self.final_answer(BioId(at), status, 0);
+            let now = self.now;
+            scheduler.gone(self, now, BioId(at));
+            self.settle(scheduler);
+        }
+    }
+
     /// A connection to a node is ready.
     pub fn node_ready(&mut self, scheduler: &mut Scheduler, at: u32, ended: bool, scratch: &mut [u8]) {
         match self.nodes.ready(at, ended, scratch, self.now, self.heard) {
@@ -280,7 +302,7 @@
     fn cancel(&mut self, bio: BioId, nth: u32) {
         let Some(held) = self.held.get_mut(bio.0).filter(|h| nth + 1 == h.submits) else { return };
         // Without a connection its outcome is on its way already.
-        let cut = held.line.take().and_then(|line| self.nodes.cut(line));
+        let cut = held.line.take().and_then(|line| self.nodes.cut(line, bio));
         self.came.extend(cut);
     }
 
@@ -304,8 +326,9 @@
         self.wants_watch = true;
     }
 
+    /// A watch opened anew begins with the list, whole where that is called for.
     fn fetch_list(&mut self) {
-        self.wants_list = true;
+        self.wants_watch = true;
     }
 
     /// Hosts can't talk to each other on these terms, which say so.
--- a/crates/platform-host/src/discovery.rs
+++ b/crates/platform-host/src/discovery.rs
@@ -1,9 +1,9 @@
-//! A call to the node list service: a watch, or the whole list once.
+//! A call to the node list service: a watch from a version on.
 use crate::{MESSAGE, tidy};
 use mallowseam_conduct::Millis;
 use mallowseam_conduct::watch::Watch;
 use mallowseam_http1::{AnswerHead, Bounds, Chunks, Framing};
-use mallowseam_platform::list::{self, News};
+use mallowseam_platform::list::{self, Entry, Front, News};
 use mallowseam_sockets::wire::{self, Tried};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -21,58 +21,57 @@
 pub struct Call {
     socket: TcpStream,
     address: SocketAddr,
+    /// The version that it was asked to go on from.
+    since: Option<u64>,
     out: Vec<u8>,
     buffer: Vec<u8>,
     stage: Stage,
-    watch: Watch,
-    once: bool,
+    pub watch: Watch,
 }
 
 /// What a call came to.
 pub enum Heard {
     News(News),
-    /// All that was asked has come.
-    Over,
+    /// A line without news.
+    Alive,
+    /// What a line that is refused says of nodes that want nothing new.
+    Closings(Vec<Entry>),
     Failed(String),
 }
 
 impl Call {
-    /// Asks for changes since a version, or for the whole list once.
+    /// Asks for changes since a version, or for the whole list and then for changes.
     pub fn open(
         registry: &Registry,
         token: Token,
         address: SocketAddr,
         since: Option<u64>,
-        once: bool,
         now: Millis,
     ) -> Result<Self, String> {
         let mut socket = TcpStream::connect(address).map_err(|e| e.to_string())?;
         let interest = Interest::READABLE | Interest::WRITABLE;
         registry.register(&mut socket, token, interest).map_err(|e| e.to_string())?;
         let mut out = Vec::new();
-        match once {
-            true => list::fetch(&mut out, address),
-            false => list::watch(&mut out, address, since),
-        }
-        let (buffer, stage, watch) = (Vec::new(), Stage::Head, Watch::new(now, once));
-        Ok(Call { socket, address, out, buffer, stage, watch, once })
+        list::watch(&mut out, address, since);
+        let (buffer, stage, watch) = (Vec::new(), Stage::Head, Watch::new(now));
+        Ok(Call { socket, address, since, out, buffer, stage, watch })
     }
 
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    pub fn since(&self) -> Option<u64> {
+        self.since
+    }
+
     /// Whether it has come through: the service may take it for a watch, though it has said nothing.
     pub fn up(&self) -> bool {
         self.out.is_empty() && self.socket.peer_addr().is_ok()
     }
 
-    pub fn fails_at(&self) -> Millis {
-        self.watch.fails_at()
-    }
-
-    /// Reads what has come. Each thing heard is told at once; after `Over` or `Failed` the call is done.
-    pub fn ready(&mut self, scratch: &mut [u8], now: Millis, heard: &mut impl FnMut(Heard)) {
+    /// Reads what has come. Each thing heard is told at once; after `Failed` the call is done.
+    pub fn ready(&mut self, scratch: &mut [u8], heard: &mut impl FnMut(Heard)) {
         if self.socket.peer_addr().is_err() {
             if let Ok(Some(e)) | Err(e) = self.socket.take_error() {
                 heard(Heard::Failed(e.to_string()));
@@ -88,21 +87,18 @@
                 Tried::Blocked => return,
                 Tried::Over(why) => return heard(Heard::Failed(why)),
             };
-            self.watch.heard(now);
             self.buffer.extend_from_slice(&scratch[..count]);
-            match self.steps(heard) {
-                Ok(false) => {}
-                Ok(true) => return heard(Heard::Over),
-                Err(why) => return heard(Heard::Failed(why)),
+            if let Err(why) = self.steps(heard) {
+                return heard(Heard::Failed(why));
             }
         }
     }
 
-    /// True: the call is done.
-    fn steps(&mut self, heard: &mut impl FnMut(Heard)) -> Result<bool, String> {
+    /// Error: the call is done.
+    fn steps(&mut self, heard: &mut impl FnMut(Heard)) -> Result<(), String> {
         while let Stage::Head = self.stage {
             let Some(head) = AnswerHead::read(&self.buffer, LIST).map_err(|f| f.words().to_owned())? else {
-                return Ok(false);
+                return Ok(());
             };
             if !head.ahead() && head.status != 200 {
                 return Err(format!("answered {}", head.status));
@@ -110,6 +106,7 @@
             let (len, framing, ahead) = (head.len, head.framing, head.ahead());
             drop(self.buffer.drain(..len));
             if !ahead {
+                self.watch.answered();
                 self.stage = match framing {
                     Framing::Chunked => Stage::Lines(Chunks::new(0)),
                     Framing::Length(len) => Stage::Length(len),
@@ -118,35 +115,23 @@
             }
         }
         match &mut self.stage {
-            Stage::Head => Ok(false),
-            Stage::Length(len) if self.buffer.len() < *len => Ok(false),
+            Stage::Head => Ok(()),
+            Stage::Length(len) if self.buffer.len() < *len => Ok(()),
+            // A list of a length is all that such a service says: whoever wants changes has to ask again.
             Stage::Length(len) => {
-                heard(Heard::News(list::read(&self.buffer[..*len])?));
-                Ok(true)
+                lines(&self.buffer[..*len], true, heard)?;
+                Err("the list has ended".into())
             }
             Stage::Lines(chunks) => {
                 chunks.advance(&mut self.buffer, LIST.body).map_err(|f| f.words().to_owned())?;
-                let decoded = &self.buffer[..chunks.at()];
-                // A list asked for once may come without a line's end.
-                let end = if chunks.over() { Some(decoded.len()) } else { None };
-                let end = end.or_else(|| decoded.iter().rposition(|b| *b == b'\n').map(|at| at + 1));
-                let Some(end) = end else { return Ok(false) };
-                for line in decoded[..end].split(|b| *b == b'\n') {
-                    if !line.trim_ascii().is_empty() {
-                        heard(Heard::News(list::read(line)?));
-                    }
-                }
-                chunks.taken(end);
                 let over = chunks.over();
-                drop(self.buffer.drain(..end));
+                let taken = lines(&self.buffer[..chunks.at()], over, heard)?;
+                chunks.taken(taken);
+                drop(self.buffer.drain(..taken));
                 if self.buffer.is_empty() {
                     tidy(&mut self.buffer);
                 }
-                match over {
-                    true if self.once => Ok(true),
-                    true => Err("the watch has ended".into()),
-                    false => Ok(false),
-                }
+                if over { Err("the watch has ended".into()) } else { Ok(()) }
             }
         }
     }
@@ -155,3 +140,28 @@
         let _ = registry.deregister(&mut self.socket);
     }
 }
+
+/// Hears the whole lines of a text; how many bytes they are. `over`: the last one may lack its end. Error: one of them
+/// is refused, but for what it says of nodes that want nothing new.
+fn lines(text: &[u8], over: bool, heard: &mut impl FnMut(Heard)) -> Result<usize, String> {
+    let whole = if over { text.len() } else { text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1) };
+    let mut at = 0;
+    loop {
+        match list::front(&text[at..whole]) {
+            Front::Part if over && !text[at..].trim_ascii().is_empty() => return Err("a list cut off".into()),
+            Front::Part => return Ok(at),
+            Front::Empty(len) => {
+                heard(Heard::Alive);
+                at += len;
+            }
+            Front::News(news, len) => {
+                heard(Heard::News(news));
+                at += len;
+            }
+            Front::Wrong(why, closings) => {
+                heard(Heard::Closings(closings));
+                return Err(why);
+            }
+        }
+    }
+}
--- a/crates/platform-host/src/nodes.rs
+++ b/crates/platform-host/src/nodes.rs
@@ -57,6 +57,10 @@
     fn written(&self) -> bool {
         self.up && self.sent == self.out.len()
     }
+
+    fn carries(&self, bio: BioId) -> bool {
+        self.carried.is_some_and(|c| c.bio == bio)
+    }
 }
 
 /// A node as this host reaches it. What it showed on its sockets is counted for the log.
@@ -326,9 +330,14 @@
         Some(carried.came(node, ending))
     }
 
-    /// Ends the submit that a connection carries.
-    pub fn cut(&mut self, place: u32) -> Option<Came> {
-        let line = self.lines.get(place)?;
+    /// Whether a connection carries a submit of this block I/O whose last byte has not gone.
+    pub fn unsent(&self, place: u32, bio: BioId) -> bool {
+        self.lines.get(place).is_some_and(|l| l.carries(bio) && !l.written())
+    }
+
+    /// Ends the submit of a block I/O that a connection carries.
+    pub fn cut(&mut self, place: u32, bio: BioId) -> Option<Came> {
+        let line = self.lines.get(place).filter(|l| l.carries(bio))?;
         let (written, node) = (line.written(), line.node);
         let carried = self.close(place)?;
         let ending = if written { Ending::Cancelled } else { Ending::Moot };
@@ -360,6 +369,11 @@
             if line.socket.peer_addr().is_err() {
                 return Ready::Nothing;
             }
+            // What a node says before it was asked is no answer to anything.
+            if !matches!(wire::read(&mut line.socket, &mut [0]), Tried::Blocked) {
+                self.close(place);
+                return Ready::Came(came(Ending::NoConnect));
+            }
             line.up = true;
         }
         if line.sent < line.out.len()
@@ -434,6 +448,11 @@
         let Some(line) = self.lines.get(place) else { return Ready::Nothing };
         let head = AnswerHead::read(&line.buffer[whole.start..], ANSWER).ok().flatten().expect("read before");
         let said = answer::read(&head);
+        // A node begins with a request's last byte: what it says before was made for another.
+        if !line.written() && said.ending != Ending::Busy {
+            self.close(place);
+            return Ready::Came(came(Ending::NoConnect));
+        }
         let kept = parting::kept_behind(said.ending == Ending::Busy);
         let close = head.close || !kept || line.buffer.len() > whole.end || !line.written();
         let (node, fresh) = (line.node, !line.used);
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -5,24 +5,27 @@
 use crate::nodes::Nodes;
 use mallowseam_conduct::front::{Doing, Leaving};
 use mallowseam_conduct::parting::{self, Keep};
+use mallowseam_conduct::watch::Pair;
 use mallowseam_fleet::word::Facts;
 use mallowseam_fleet_udp::Part;
 use mallowseam_platform::config::{self, Config};
 use mallowseam_platform::list::News;
-use mallowseam_scheduler::host::{Host, ListForm, NodeId, Tick};
+use mallowseam_platform::settings::Named;
+use mallowseam_scheduler::host::{Host, ListForm, NodeId, Terms, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_sockets::clock::{Clock, Looks, millis, span, ticks};
-use mallowseam_sockets::signals;
+use mallowseam_sockets::{listener, signals};
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::io::{self, ErrorKind, Read};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 const LISTENER: Token = Token(0);
 const TERM: Token = Token(1);
 const HUP: Token = Token(2);
-const WATCH: Token = Token(3);
-const FETCH: Token = Token(4);
+/// The two calls to the list service.
+const CALLS: [Token; 2] = [Token(3), Token(4)];
 const INT: Token = Token(5);
 const FLEET: Token = Token(6);
 const CALLERS: usize = 8;
@@ -72,13 +75,14 @@
     term: UnixStream,
     int: UnixStream,
     hup: UnixStream,
-    watch: Option<Call>,
-    fetch: Option<Call>,
+    calls: [Option<Call>; 2],
+    pair: Pair,
     /// Its part in the fleet's view, where the configuration names one, and whether that has more to read.
     part: Option<Box<Part>>,
     part_more: bool,
-    /// The version of the list, once one was told.
+    /// The version of the list, once one was told, and the service that counts by it.
     seq: Option<u64>,
+    counted_by: SocketAddr,
     told: bool,
     /// The host is to end.
     leaving: Option<Leaving>,
@@ -135,7 +139,7 @@
         let term = signals::pipe(poll, TERM, &[SIGTERM]).map_err(failure("signals"))?;
         let int = signals::pipe(poll, INT, &[SIGINT]).map_err(failure("signals"))?;
         let listening = failure(format!("listen {}", config.listen));
-        let mut listener = TcpListener::bind(config.listen).map_err(listening)?;
+        let mut listener = listener::listen(config.listen).map_err(listening)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(failure("poll"))?;
         let parting = parting::part(config.sockets, config.memory_mb);
         let clock = Clock::of_day();
@@ -181,11 +185,12 @@
             term,
             int,
             hup,
-            watch: None,
-            fetch: None,
+            calls: [None, None],
+            pair: Pair::default(),
             part,
             part_more: false,
             seq: None,
+            counted_by: config.discovery,
             told: false,
             leaving: None,
             scratch: vec![0; SCRATCH],
@@ -215,6 +220,11 @@
         self.desk.now = self.clock.now();
     }
 
+    /// By when all has to be answered, once it is told to end.
+    fn answers_by(&self) -> Option<Tick> {
+        self.leaving.and_then(|l| l.answers_by()).map(ticks)
+    }
+
     fn over(&self) -> bool {
         let clients = self.desk.clients.len();
         self.leaving.is_some_and(|l| l.over(millis(self.desk.now), clients))
@@ -225,7 +235,8 @@
             return std::time::Duration::ZERO;
         }
         let mut due = self.looked + LOOK;
-        for at in [self.desk.wake_at, self.desk.nodes.next_timer()].into_iter().flatten() {
+        let by = self.answers_by().filter(|by| *by > self.desk.now);
+        for at in [self.desk.wake_at, self.desk.nodes.next_timer(), by].into_iter().flatten() {
             due = due.min(at);
         }
         let due = span(due - self.clock.now());
@@ -238,11 +249,16 @@
         self.tick();
         // Time first: a host that was stopped must not take what has come since for late.
         self.part.iter_mut().for_each(|p| p.tick());
+        // A round that is full may leave the list's event for the next one, behind what clients ask.
+        let full = events.iter().count() >= EVENTS;
+        for (at, token) in CALLS.into_iter().enumerate() {
+            if full || events.iter().any(|e| e.token() == token) {
+                self.hear(at);
+            }
+        }
         for event in events {
             match event.token() {
                 FLEET => self.part_more = true,
-                WATCH => self.hear(WATCH),
-                FETCH => self.hear(FETCH),
                 HUP if drain(&mut self.hup) => self.reload(),
                 TERM if drain(&mut self.term) => {
                     let named = &self.desk.named;
@@ -303,11 +319,12 @@
         self.tick();
         self.desk.overdue(&mut self.scheduler);
         self.desk.woken(&mut self.scheduler);
-        if std::mem::take(&mut self.desk.wants_watch) {
-            self.call(WATCH);
+        if self.answers_by().is_some_and(|by| by <= self.desk.now) && self.desk.in_hand() > 0 {
+            self.desk.close_all(&mut self.scheduler);
         }
-        if std::mem::take(&mut self.desk.wants_list) {
-            self.call(FETCH);
+        // A watch begins with all that was missed, the whole list where that is called for.
+        if std::mem::take(&mut self.desk.wants_watch) {
+            self.call();
         }
         if self.desk.now >= self.looked + LOOK {
             self.looked = self.desk.now;
@@ -319,10 +336,16 @@
         let now = millis(self.desk.now);
         self.desk.clients.look(now);
         self.desk.nodes.look(self.desk.now);
-        for token in [WATCH, FETCH] {
-            if self.place(token).as_ref().is_some_and(|c| now >= c.fails_at()) {
-                let up = self.place(token).as_ref().is_some_and(Call::up);
-                self.lost(token, "silent", if up { ListForm::Silent } else { ListForm::Failed });
+        for at in 0..CALLS.len() {
+            let Some(call) = &mut self.calls[at] else { continue };
+            if !call.watch.fails(now) {
+                continue;
+            }
+            if !call.up() {
+                self.lost(at, "no connection");
+            } else if self.pair.is_last(at) {
+                tracing::warn!(address = %call.address(), "the list service says nothing");
+                self.desk.list_failed(&mut self.scheduler, ListForm::Silent);
             }
         }
         if self.leaving.is_some_and(|l| !l.lets_in(now)) {
@@ -395,6 +418,20 @@
         } else {
             tracing::warn!("other I/O groups or plans need a new start");
         }
+        // Set up once, at the start: a host that took only a part of them would serve by two pages at once.
+        let rest = |n: &Named| Named {
+            terms: Terms {
+                plans: Vec::new(),
+                list_on_request: true,
+                word_by_half: true,
+                ask_turn: None,
+                ..n.terms.clone()
+            },
+            ..n.clone()
+        };
+        if rest(named) != rest(&self.desk.named) {
+            tracing::warn!("settings beside the plans' figures have changed, and need a new start");
+        }
         match (&mut self.part, config.place) {
             (None, None) => {}
             (Some(part), place) => part.reload(place),
@@ -409,61 +446,93 @@
         }
     }
 
-    fn place(&mut self, token: Token) -> &mut Option<Call> {
-        if token == WATCH { &mut self.watch } else { &mut self.fetch }
+    /// Calls the list service anew. A call that still stands is listened to until the new one has spoken.
+    fn call(&mut self) {
+        let last = self.calls.iter().enumerate().any(|(at, c)| c.is_some() && self.pair.is_last(at));
+        let at = self.pair.next(last);
+        self.end(at);
+        let (address, now) = (self.config.discovery, millis(self.desk.now));
+        // Another service counts by itself: where it stands says nothing of what this one has told.
+        if address != self.counted_by {
+            (self.seq, self.counted_by) = (None, address);
+        }
+        match Call::open(&self.registry, CALLS[at], address, self.seq, now) {
+            Ok(call) => self.calls[at] = Some(call),
+            Err(why) => self.lost(at, &why),
+        }
     }
 
-    /// Calls the list service anew.
-    fn call(&mut self, token: Token) {
-        if let Some(call) = self.place(token).take() {
+    fn end(&mut self, at: usize) {
+        if let Some(call) = self.calls[at].take() {
             call.end(&self.registry);
         }
-        let (address, now) = (self.config.discovery, millis(self.desk.now));
-        match Call::open(&self.registry, token, address, self.seq, token == FETCH, now) {
-            Ok(call) => *self.place(token) = Some(call),
-            Err(why) => self.lost(token, &why, ListForm::Failed),
-        }
     }
 
     /// A call has failed, or its watch has ended.
-    fn lost(&mut self, token: Token, why: &str, form: ListForm) {
-        if let Some(call) = self.place(token).take() {
-            tracing::warn!(why, address = %call.address(), "the list service failed");
-            call.end(&self.registry);
+    fn lost(&mut self, at: usize, why: &str) {
+        tracing::warn!(why, address = %self.config.discovery, "the list service failed");
+        self.end(at);
+        // One that another was called beside has been told as silent before.
+        if self.pair.is_last(at) {
+            self.desk.list_failed(&mut self.scheduler, ListForm::Failed);
         }
-        self.desk.list_failed(&mut self.scheduler, form);
     }
 
-    fn hear(&mut self, token: Token) {
-        let now = millis(self.desk.now);
-        let Some(mut call) = self.place(token).take() else { return };
+    fn hear(&mut self, at: usize) {
+        let Some(mut call) = self.calls[at].take() else { return };
         let mut heard = Vec::new();
-        call.ready(&mut self.scratch, now, &mut |h| heard.push(h));
-        *self.place(token) = Some(call);
+        call.ready(&mut self.scratch, &mut |h| heard.push(h));
+        self.calls[at] = Some(call);
         for heard in heard {
             match heard {
-                Heard::News(news) => self.news(&news),
-                Heard::Over => {
-                    if let Some(call) = self.place(token).take() {
-                        call.end(&self.registry);
-                    }
+                // Given up over the news before.
+                _ if self.calls[at].is_none() => return,
+                Heard::News(news) => self.news(at, &news),
+                Heard::Alive => self.spoke(at),
+                Heard::Closings(entries) => {
+                    let news = News { seq: 0, whole: false, entries };
+                    self.desk.listed(&mut self.scheduler, ListForm::Changes, &news);
                 }
-                Heard::Failed(why) => self.lost(token, &why, ListForm::Failed),
+                Heard::Failed(why) => return self.lost(at, &why),
             }
         }
     }
 
-    fn news(&mut self, news: &News) {
-        // Changes older than the list are none, but say that the call has come through: the scheduler goes by that
-        // when the watch is lost. A whole list counts whatever its version.
+    /// A whole line has come on a call: the one made before it has no more to say.
+    fn spoke(&mut self, at: usize) {
+        let now = millis(self.desk.now);
+        let first = self.calls[at].as_mut().is_some_and(|c| c.watch.heard(now));
+        if let Some(other) = self.pair.spoke(at) {
+            self.end(other);
+        }
+        if first {
+            // With no news or old ones, it is had all the same: the scheduler goes by that when the watch is lost.
+            let none = News { seq: 0, whole: false, entries: Vec::new() };
+            self.desk.listed(&mut self.scheduler, ListForm::Changes, &none);
+        }
+    }
+
+    fn news(&mut self, at: usize, news: &News) {
+        self.spoke(at);
+        let Some(call) = &self.calls[at] else { return };
+        let form = if news.whole { ListForm::Whole } else { ListForm::Changes };
+        if call.address() != self.counted_by {
+            // The last words of a service that this host has left: they count as changes, and no version goes by them.
+            return self.desk.listed(&mut self.scheduler, ListForm::Changes, news);
+        }
+        if !news.whole && call.since().is_some_and(|since| news.seq < since) {
+            // It has started anew and counts from below: what it has to tell is all that it has.
+            self.seq = None;
+            return self.lost(at, "counts anew");
+        }
+        // Changes older than the list are none. A whole list counts whatever its version: it was asked for later than
+        // all that came before.
         if !news.whole && self.seq.is_some_and(|seq| news.seq <= seq) {
-            let none = News { seq: news.seq, whole: false, entries: Vec::new() };
-            return self.desk.listed(&mut self.scheduler, ListForm::Changes, &none);
+            return;
         }
         self.seq = Some(news.seq);
         self.part.iter_mut().for_each(|p| p.facts(Facts { list: news.seq, plans: 0 }));
         self.told |= !news.entries.is_empty();
-        let form = if news.whole { ListForm::Whole } else { ListForm::Changes };
         self.desk.listed(&mut self.scheduler, form, news);
     }
 
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -126,7 +126,7 @@
         Value::Null => Some(None),
         known => r.take("known", list::of(known)).map(Some),
     };
-    let named = r.take("settings", settings::of(&v["settings"]));
+    let named = settings::of(&v["settings"]).map_err(|all| r.0.extend(all.lines().map(str::to_owned))).ok();
     if let Some(named) = &named {
         for (field, empty) in
             [("profiles", named.groups.is_empty()), ("service_levels", named.plans.is_empty())]
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -58,6 +58,46 @@
     serde_json::from_slice::<News>(text).map_err(|e| e.to_string())?.checked()
 }
 
+/// What stands at the front of a watch's text, which may be indented and then has more than one line to an object.
+pub enum Front {
+    /// Nothing, or the beginning of an object.
+    Part,
+    /// An empty line, as long as this: a sign of life.
+    Empty(usize),
+    /// News, as long as this.
+    News(News, usize),
+    /// What can't be read, and what it says all the same of nodes that want nothing new. That counts: what is refused
+    /// with it is asked for again, and to go on sending there meanwhile is the one thing that a host must not do.
+    Wrong(String, Vec<Entry>),
+}
+
+/// Looks at the front of a watch's text.
+pub fn front(text: &[u8]) -> Front {
+    let blank = text.iter().take_while(|b| b.is_ascii_whitespace()).count();
+    if let Some(end) = text[..blank].iter().rposition(|b| *b == b'\n') {
+        return Front::Empty(end + 1);
+    }
+    let mut values = serde_json::Deserializer::from_slice(text).into_iter::<serde_json::Value>();
+    match values.next() {
+        None => Front::Part,
+        Some(Err(e)) if e.is_eof() => Front::Part,
+        Some(Err(e)) => Front::Wrong(e.to_string(), Vec::new()),
+        Some(Ok(value)) => {
+            let len = values.byte_offset();
+            match News::deserialize(&value).map_err(|e| e.to_string()).and_then(News::checked) {
+                Ok(news) => Front::News(news, len),
+                Err(why) => Front::Wrong(why, closings(&value)),
+            }
+        }
+    }
+}
+
+fn closings(value: &serde_json::Value) -> Vec<Entry> {
+    let entries = value["hosts"].as_array().map_or(&[][..], Vec::as_slice).iter().take(ENTRIES);
+    let read = entries.filter_map(|e| Entry::deserialize(e).ok());
+    read.filter(|e| e.health != Health::Ready && !e.name.is_empty() && e.name.len() <= NAME).collect()
+}
+
 /// The same, of what is parsed already.
 pub fn of(value: serde_json::Value) -> Result<News, String> {
     serde_json::from_value::<News>(value).map_err(|e| e.to_string())?.checked()
@@ -72,9 +112,3 @@
     write!(out, "GET /v1/endpoints?follow=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n")
         .expect("writing to memory");
 }
-
-/// The call for the whole list, once.
-pub fn fetch(out: &mut Vec<u8>, host: SocketAddr) {
-    write!(out, "GET /v1/endpoints HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")
-        .expect("writing to memory");
-}
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 /// The terms, the names that go with them, and what the settings say of connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Named {
     pub terms: Terms,
     pub groups: Vec<String>,
@@ -20,28 +20,131 @@
     pub longest: Tick,
 }
 
-fn num(v: &Value, key: &str) -> f64 {
-    v[key].as_f64().filter(|n| n.is_finite() && *n >= 0.0).unwrap_or(0.0)
-}
+/// Reads fields and notes whatever is amiss, each with its place. A figure that is absent is none, where the page of
+/// the settings says what that means; one that is there and no figure is refused.
+#[derive(Default)]
+struct Reader(Vec<String>);
 
-fn down(v: &Value, key: &str) -> i64 {
-    (num(v, key) / 100.0).floor() as i64
-}
+impl Reader {
+    fn wrong(&mut self, at: &str, key: &str, expected: &str) {
+        self.0.push(format!("settings.{at}{key}: expected {expected}"));
+    }
 
-fn up(v: &Value, key: &str) -> i64 {
-    (num(v, key) / 100.0).ceil() as i64
-}
+    fn num(&mut self, v: &Value, at: &str, key: &str) -> f64 {
+        match &v[key] {
+            Value::Null => 0.0,
+            found => found.as_f64().filter(|n| n.is_finite() && *n >= 0.0).unwrap_or_else(|| {
+                self.wrong(at, key, "a figure of 0 or more");
+                0.0
+            }),
+        }
+    }
 
-fn list<'a>(v: &'a Value, key: &str) -> &'a [Value] {
-    v[key].as_array().map_or(&[], Vec::as_slice)
-}
+    /// A figure without which nothing safe can be decided.
+    fn must(&mut self, v: &Value, at: &str, key: &str) -> f64 {
+        let found = self.num(v, at, key);
+        if found == 0.0 && !self.0.iter().any(|w| w.starts_with(&format!("settings.{at}{key}:"))) {
+            self.wrong(at, key, "a figure above 0");
+        }
+        found
+    }
+
+    fn down(&mut self, v: &Value, at: &str, key: &str) -> Tick {
+        (self.num(v, at, key) / 100.0).floor() as Tick
+    }
 
-fn flag(v: &Value, key: &str) -> bool {
-    v[key].as_bool().unwrap_or(false)
+    fn up(&mut self, v: &Value, at: &str, key: &str) -> Tick {
+        (self.num(v, at, key) / 100.0).ceil() as Tick
+    }
+
+    /// Something allowed or promised: not, where nothing says so.
+    fn flag(&mut self, v: &Value, at: &str, key: &str) -> bool {
+        match &v[key] {
+            Value::Null => false,
+            found => found.as_bool().unwrap_or_else(|| {
+                self.wrong(at, key, "true or false");
+                false
+            }),
+        }
+    }
+
+    /// One of some words, or none.
+    fn word<'a>(&mut self, v: &'a Value, at: &str, key: &str, words: &[&str]) -> Option<&'a str> {
+        let found = v[key].as_str().filter(|w| words.contains(w));
+        if found.is_none() && !v[key].is_null() {
+            self.wrong(at, key, &words.join(" or "));
+        }
+        found
+    }
+
+    /// A name that no other of its kind has.
+    fn name(&mut self, v: &Value, at: &str, others: &mut Vec<String>) {
+        let name = v["name"].as_str().unwrap_or_default().to_owned();
+        if name.is_empty() || others.contains(&name) {
+            self.wrong(at, "name", "a name of its own");
+        }
+        others.push(name);
+    }
+
+    fn group(&mut self, g: &Value, at: &str, writes: bool) -> IoGroup {
+        let scope = match self.word(g, at, "key_scope", &["all", "zone", "cell"]) {
+            Some("all") => Scope::All,
+            Some("zone") => Scope::Zone,
+            // The narrowest, where nothing says how far repeats are dropped.
+            _ => Scope::Cell,
+        };
+        let memory = self.down(g, at, "key_ttl_us");
+        let repeat = ["idempotent", "deduplicated", "at_most_once"];
+        let effect = match self.word(g, at, "repeat", &repeat) {
+            Some("idempotent") => Effect::Idempotent,
+            Some("deduplicated") => Effect::Fingerprinted { scope, memory },
+            Some(_) => Effect::SideEffecting,
+            None => {
+                if g["repeat"].is_null() {
+                    self.wrong(at, "repeat", &repeat.join(" or "));
+                }
+                Effect::SideEffecting
+            }
+        };
+        self.must(g, at, "aim_us");
+        self.must(g, at, "deadline_us");
+        IoGroup {
+            effect,
+            goal: self.down(g, at, "aim_us"),
+            late_share: self.num(g, at, "late_share"),
+            gain: self.num(g, at, "worth"),
+            ordered: self.flag(g, at, "keep_order"),
+            writes,
+        }
+    }
+
+    fn plan(&mut self, p: &Value, at: &str) -> Plan {
+        // 0 is no limit: what is absent must not become that.
+        if p["limit"].is_null() {
+            self.wrong(at, "limit", "a figure, 0 for none");
+        }
+        Plan {
+            usual: self.num(p, at, "usual_rate"),
+            reserve: self.num(p, at, "floor_rate"),
+            limit: self.num(p, at, "limit"),
+            limit_burst: self.num(p, at, "limit_burst"),
+            wt: self.num(p, at, "weight"),
+            price: if p["worth_factor"].is_null() { 1.0 } else { self.num(p, at, "worth_factor") },
+        }
+    }
+
+    /// Figures of one rule: all of them, or the rule is not there.
+    fn together(&mut self, v: &Value, at: &str, keys: &[&str]) {
+        if keys.iter().any(|k| !v[*k].is_null()) {
+            for key in keys.iter().filter(|k| v[**k].is_null()) {
+                self.wrong(at, key, "a figure, as others of its rule are there");
+            }
+        }
+    }
 }
 
-fn name(v: &Value) -> String {
-    v["name"].as_str().unwrap_or_default().to_owned()
+fn list<'a>(v: &'a Value, key: &str) -> &'a [Value] {
+    v[key].as_array().map_or(&[], Vec::as_slice)
 }
 
 pub fn read(text: &str) -> Result<Named, String> {
@@ -55,81 +158,66 @@
         return Err("settings: expected a JSON object".into());
     }
     let (extra, limits, rules) = (&v["extra"], &v["limits"], &v["rules"]);
+    let mut r = Reader::default();
     let writes = list(extra, "class_writes");
-    let group = |(i, g): (usize, &Value)| {
-        let scope = match g["key_scope"].as_str() {
-            Some("zone") => Scope::Zone,
-            Some("cell") => Scope::Cell,
-            _ => Scope::All,
-        };
-        let effect = match g["repeat"].as_str() {
-            Some("idempotent") => Effect::Idempotent,
-            Some("deduplicated") => Effect::Fingerprinted { scope, memory: down(g, "key_ttl_us") },
-            Some("at_most_once") => Effect::SideEffecting,
-            _ => return Err("settings: profiles.repeat: expected idempotent, deduplicated or at_most_once"),
-        };
-        Ok(IoGroup {
-            effect,
-            goal: down(g, "aim_us"),
-            late_share: num(g, "late_share"),
-            gain: num(g, "worth"),
-            ordered: flag(g, "keep_order"),
-            writes: writes.get(i).and_then(Value::as_bool).unwrap_or(false),
-        })
-    };
-    let plan = |p: &Value| Plan {
-        usual: num(p, "usual_rate"),
-        reserve: num(p, "floor_rate"),
-        limit: num(p, "limit"),
-        limit_burst: num(p, "limit_burst"),
-        wt: num(p, "weight"),
-        price: p["worth_factor"].as_f64().unwrap_or(1.0),
-    };
-    let on_request = v["registry_mode"].as_str() == Some("on_request");
+    let (mut terms, mut groups, mut plans) = (Terms::default(), Vec::new(), Vec::new());
+    let mut longest = 0;
+    for (i, g) in list(v, "profiles").iter().enumerate() {
+        let at = format!("profiles[{i}].");
+        r.name(g, &at, &mut groups);
+        terms.groups.push(r.group(g, &at, writes.get(i).and_then(Value::as_bool).unwrap_or(false)));
+        longest = longest.max(r.up(g, &at, "deadline_us"));
+    }
+    for (i, p) in list(v, "service_levels").iter().enumerate() {
+        let at = format!("service_levels[{i}].");
+        r.name(p, &at, &mut plans);
+        terms.plans.push(r.plan(p, &at));
+    }
+    // Where nothing says how lists come, what the service knows counts at once: the strictest.
+    let on_request = r.word(v, "", "registry_mode", &["on_request", "pushed"]) == Some("on_request");
+    r.together(rules, "rules.", &["cold_from", "cold_us", "fall_multiple", "fall_us"]);
+    r.together(rules, "rules.", &["extra_ratio", "look_back_us"]);
     let terms = Terms {
-        hosts: num(v, "balancers") as u32,
-        groups: list(v, "profiles").iter().enumerate().map(group).collect::<Result<_, _>>()?,
-        plans: list(v, "service_levels").iter().map(plan).collect(),
-        mean_units: num(extra, "mean_units"),
-        largest: num(extra, "largest"),
-        share_gain: num(extra, "within_share"),
-        spare_gain: num(extra, "spare_worth"),
-        meter: down(extra, "meter_us"),
-        counts_others: flag(extra, "counts_others"),
-        may_cancel: flag(limits, "cancel"),
-        may_probe: flag(limits, "probes"),
-        may_tell: flag(limits, "peer_messages"),
-        may_duplicate: flag(limits, "may_duplicate"),
-        may_name_return: flag(limits, "retry_after"),
-        longest_return: down(limits, "max_retry_after_us"),
-        max_submits: num(limits, "max_attempts") as u32,
+        hosts: r.must(v, "", "balancers") as u32,
+        mean_units: r.num(extra, "extra.", "mean_units"),
+        largest: r.num(extra, "extra.", "largest"),
+        share_gain: r.num(extra, "extra.", "within_share"),
+        spare_gain: r.num(extra, "extra.", "spare_worth"),
+        meter: r.down(extra, "extra.", "meter_us"),
+        counts_others: r.flag(extra, "extra.", "counts_others"),
+        may_cancel: r.flag(limits, "limits.", "cancel"),
+        may_probe: r.flag(limits, "limits.", "probes"),
+        may_tell: r.flag(limits, "limits.", "peer_messages"),
+        may_duplicate: r.flag(limits, "limits.", "may_duplicate"),
+        may_name_return: r.flag(limits, "limits.", "retry_after"),
+        longest_return: r.down(limits, "limits.", "max_retry_after_us"),
+        max_submits: r.num(limits, "limits.", "max_attempts") as u32,
         list_on_request: on_request,
         list_pushed: !on_request,
-        ask_within: down(rules, "ask_within_us"),
-        // No settings tell these: a host knows where it serves.
-        word_by_half: false,
-        ask_turn: None,
-        cold_bears: num(extra, "cold_bears"),
-        cold_from: num(rules, "cold_from"),
-        cold_span: up(rules, "cold_us"),
-        fall_span: up(rules, "fall_us"),
-        fall_multiple: num(rules, "fall_multiple"),
-        order_rest: up(rules, "order_pause_us"),
-        budget_free: num(rules, "free_resends"),
-        budget_share: num(rules, "extra_ratio"),
-        budget_span: up(rules, "look_back_us"),
+        ask_within: r.down(rules, "rules.", "ask_within_us"),
+        cold_bears: r.num(extra, "extra.", "cold_bears"),
+        cold_from: r.num(rules, "rules.", "cold_from"),
+        cold_span: r.up(rules, "rules.", "cold_us"),
+        fall_span: r.up(rules, "rules.", "fall_us"),
+        fall_multiple: r.num(rules, "rules.", "fall_multiple"),
+        order_rest: r.up(rules, "rules.", "order_pause_us"),
+        budget_free: r.num(rules, "rules.", "free_resends"),
+        budget_share: r.num(rules, "rules.", "extra_ratio"),
+        budget_span: r.up(rules, "rules.", "look_back_us"),
+        // No settings tell the rest: a host knows where it serves.
+        ..terms
     };
-    let groups = list(v, "profiles").iter().map(name).collect();
-    let plans = list(v, "service_levels").iter().map(name).collect();
     let zones = list(v, "localities").iter().filter_map(|z| z.as_str().map(str::to_owned)).collect();
-    Ok(Named {
+    r.must(limits, "limits.", "connect_timeout_us");
+    let named = Named {
         terms,
         groups,
         plans,
         zones,
-        connect_within: up(limits, "connect_timeout_us"),
-        idle_close: down(limits, "idle_close_us"),
-        open_most: num(limits, "open_cap") as usize,
-        longest: list(v, "profiles").iter().map(|g| up(g, "deadline_us")).max().unwrap_or(0),
-    })
+        connect_within: r.up(limits, "limits.", "connect_timeout_us"),
+        idle_close: r.down(limits, "limits.", "idle_close_us"),
+        open_most: r.num(limits, "limits.", "open_cap") as usize,
+        longest,
+    };
+    if r.0.is_empty() { Ok(named) } else { Err(r.0.join("\n")) }
 }
