Clients that have left are heard ahead of what nodes make room for, in one round

Seen: with a host held until both waited, what was held for clients that had left was sent on once nodes answered in the same round (run.rs round: nodes, then clients).

--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -106,6 +106,43 @@
     panic!("a crowd is never let in at once");
 }
 
+#[test]
+fn what_is_held_for_clients_that_have_left_is_not_sent_once_its_node_has_room() {
+    let rig = Rig::with(1, |config, _| patient(config));
+    let node = &rig.nodes[0];
+    (0..40).for_each(|_| node.next(Answer::Held));
+    let mut crowd: Vec<Client> = (0..20).map(|_| rig.client()).collect();
+    for (n, client) in crowd.iter_mut().enumerate() {
+        client.send(&stand::read_text(&format!("r{n}"), 0, 50_000));
+    }
+    until("all are taken", || rig.client().read("r19", 0).0 == 409);
+    // They leave as the node makes room, and the host finds both in one round.
+    until("the host stands still with nothing half sent", || {
+        rig.stop();
+        let settled = node.seen().len() == node.established();
+        if !settled {
+            rig.go_on();
+        }
+        settled
+    });
+    let out: Vec<String> = node.seen().iter().map(|s| s.id.clone()).collect();
+    assert!(!out.is_empty() && out.len() < 20, "some are held: {out:?}");
+    for n in (0..20).rev().filter(|n| !out.contains(&format!("r{n}"))) {
+        drop(crowd.remove(n));
+    }
+    node.release();
+    until("the node has answered", || node.answered() == out.len());
+    rig.go_on();
+    for client in &mut crowd {
+        assert_eq!(client.answer().map(|a| a.0), Some(200));
+    }
+    let mut next = rig.client();
+    next.send(&stand::read_text("next", 0, 50_000));
+    assert_eq!(next.answer(), Some((200, "made for next".into())));
+    let seen: Vec<String> = node.seen().into_iter().map(|s| s.id).filter(|id| id != "next").collect();
+    assert_eq!(seen, out, "nothing of those who left");
+}
+
 #[test]
 fn requests_that_stand_in_silent_connections_when_their_time_is_up_are_answered() {
     let rig = Rig::with(1, |config, _| config.replace("\"sockets\":256", "\"sockets\":2048"));
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -154,6 +154,7 @@
     seen: Mutex<Vec<Seen>>,
     next: Mutex<VecDeque<Answer>>,
     connections: AtomicUsize,
+    answered: AtomicUsize,
     closed: AtomicUsize,
     released: (Mutex<bool>, Condvar),
     stopped: AtomicBool,
@@ -202,6 +203,11 @@
         sockets().iter().filter(|s| s.to == hex(self.at) && s.state == "02").count()
     }
 
+    /// Its connections that are up.
+    pub fn established(&self) -> usize {
+        sockets().iter().filter(|s| s.from == hex(self.at) && s.state == "01").count()
+    }
+
     /// What it says on every connection before it has read a byte.
     pub fn greets(&self, text: &str) {
         text.clone_into(&mut self.work.greeting.lock().expect("sound"));
@@ -276,6 +282,11 @@
         self.work.connections.load(Ordering::SeqCst)
     }
 
+    /// Answers that stand in the host's sockets.
+    pub fn answered(&self) -> usize {
+        self.work.answered.load(Ordering::SeqCst)
+    }
+
     pub fn closed(&self) -> usize {
         self.work.closed.load(Ordering::SeqCst)
     }
@@ -316,6 +327,7 @@
             let text = format!("made for {id}");
             let good = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
             let next = self.next.lock().expect("sound").pop_front();
+            let held = matches!(next, Some(Answer::Held));
             let said = match next {
                 None => good,
                 Some(Answer::Raw(raw)) => raw,
@@ -331,6 +343,10 @@
             if socket.write_all(said.as_bytes()).is_err() {
                 return;
             }
+            if held {
+                delivered(&socket);
+            }
+            self.answered.fetch_add(1, Ordering::SeqCst);
         }
     }
 }
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -243,8 +243,8 @@
         self.part.as_ref().map_or(due, |p| due.min(std::time::Duration::from_millis(p.due())))
     }
 
-    /// One round: the list and the nodes are heard ahead of new work of clients, and time-outs count only what
-    /// had not come by now.
+    /// One round: the list and the nodes are heard ahead of new work of clients, those who have left ahead of what
+    /// nodes make room for, and time-outs count only what had not come by now.
     fn round(&mut self, events: &Events) {
         self.tick();
         // Time first: a host that was stopped must not take what has come since for late.
@@ -271,6 +271,7 @@
                 _ => {}
             }
         }
+        self.clients_ready(events, true);
         for event in events {
             let Token(token) = event.token();
             if token >= CALLERS && !(token - CALLERS).is_multiple_of(2) {
@@ -280,26 +281,31 @@
                 self.desk.node_ready(&mut self.scheduler, at, ended, &mut self.scratch);
             }
         }
+        self.clients_ready(events, false);
+        if self.accepting {
+            self.accept();
+        }
+        self.turns(ROUND);
+        if let Some(part) = self.part.as_mut().filter(|_| self.part_more) {
+            self.part_more = part.heard();
+        }
+        self.finish();
+    }
+
+    /// Connections of clients that have left, or the others, have something.
+    fn clients_ready(&mut self, events: &Events, left: bool) {
         for event in events {
             let Token(token) = event.token();
-            if token >= CALLERS && (token - CALLERS).is_multiple_of(2) {
+            let ended = event.is_read_closed() || event.is_error();
+            if token >= CALLERS && (token - CALLERS).is_multiple_of(2) && ended == left {
                 self.tick();
                 let at = ((token - CALLERS) / 2) as u32;
-                let ended = event.is_read_closed() || event.is_error();
                 let now = millis(self.desk.now);
                 if let Some(bio) = self.desk.clients.ready(at, event.is_readable(), ended, now) {
                     self.desk.left(&mut self.scheduler, bio);
                 }
             }
         }
-        if self.accepting {
-            self.accept();
-        }
-        self.turns(ROUND);
-        if let Some(part) = self.part.as_mut().filter(|_| self.part_more) {
-            self.part_more = part.heard();
-        }
-        self.finish();
     }
 
     /// Turns of clients' connections that may have something to read.
