--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -20,6 +20,15 @@
     pub longest: Tick,
 }
 
+/// Microseconds as ticks: a deadline rounded down, a wait up.
+fn down(micros: f64) -> Tick {
+    (micros / 100.0).floor() as Tick
+}
+
+fn up(micros: f64) -> Tick {
+    (micros / 100.0).ceil() as Tick
+}
+
 /// Reads fields and notes whatever is amiss, each with its place. A figure that is absent is none, where the page of
 /// the settings says what that means; one that is there and no figure is refused.
 #[derive(Default)]
@@ -50,11 +59,11 @@
     }
 
     fn down(&mut self, v: &Value, at: &str, key: &str) -> Tick {
-        (self.num(v, at, key) / 100.0).floor() as Tick
+        down(self.num(v, at, key))
     }
 
     fn up(&mut self, v: &Value, at: &str, key: &str) -> Tick {
-        (self.num(v, at, key) / 100.0).ceil() as Tick
+        up(self.num(v, at, key))
     }
 
     /// Something allowed or promised: not, where nothing says so.
@@ -86,7 +95,8 @@
         others.push(name);
     }
 
-    fn group(&mut self, g: &Value, at: &str, writes: bool) -> IoGroup {
+    /// An I/O group and its hard limit.
+    fn group(&mut self, g: &Value, at: &str, writes: bool) -> (IoGroup, Tick) {
         let scope = match self.word(g, at, "key_scope", &["all", "zone", "cell"]) {
             Some("all") => Scope::All,
             Some("zone") => Scope::Zone,
@@ -106,16 +116,15 @@
                 Effect::SideEffecting
             }
         };
-        self.must(g, at, "aim_us");
-        self.must(g, at, "deadline_us");
-        IoGroup {
+        let group = IoGroup {
             effect,
-            goal: self.down(g, at, "aim_us"),
+            goal: down(self.must(g, at, "aim_us")),
             late_share: self.num(g, at, "late_share"),
             gain: self.num(g, at, "worth"),
             ordered: self.flag(g, at, "keep_order"),
             writes,
-        }
+        };
+        (group, up(self.must(g, at, "deadline_us")))
     }
 
     fn plan(&mut self, p: &Value, at: &str) -> Plan {
@@ -165,8 +174,9 @@
     for (i, g) in list(v, "profiles").iter().enumerate() {
         let at = format!("profiles[{i}].");
         r.name(g, &at, &mut groups);
-        terms.groups.push(r.group(g, &at, writes.get(i).and_then(Value::as_bool).unwrap_or(false)));
-        longest = longest.max(r.up(g, &at, "deadline_us"));
+        let (group, hard_limit) = r.group(g, &at, writes.get(i).and_then(Value::as_bool).unwrap_or(false));
+        terms.groups.push(group);
+        longest = longest.max(hard_limit);
     }
     for (i, p) in list(v, "service_levels").iter().enumerate() {
         let at = format!("service_levels[{i}].");
@@ -208,13 +218,12 @@
         ..terms
     };
     let zones = list(v, "localities").iter().filter_map(|z| z.as_str().map(str::to_owned)).collect();
-    r.must(limits, "limits.", "connect_timeout_us");
     let named = Named {
         terms,
         groups,
         plans,
         zones,
-        connect_within: r.up(limits, "limits.", "connect_timeout_us"),
+        connect_within: up(r.must(limits, "limits.", "connect_timeout_us")),
         idle_close: r.down(limits, "limits.", "idle_close_us"),
         open_most: r.num(limits, "limits.", "open_cap") as usize,
         longest,
--- /dev/null
+++ b/crates/platform/tests/settings.rs
@@ -0,0 +1,100 @@
+//! Settings of other customers: what can't be read is refused with its field, what is absent is refused or the strictest.
+use mallowseam_platform::settings;
+use mallowseam_scheduler::host::{Effect, Scope};
+use serde_json::{Value, json};
+
+fn whole() -> Value {
+    json!({"balancers": 3, "localities": ["a"], "registry_mode": "on_request",
+        "profiles": [
+            {"name": "scan", "aim_us": 200000, "deadline_us": 1000000, "repeat": "idempotent", "worth": 3.0},
+            {"name": "stamp", "aim_us": 250000, "deadline_us": 2000000, "repeat": "deduplicated", "key_scope": "zone",
+             "key_ttl_us": 900000, "worth": 2.0}],
+        "service_levels": [{"name": "copper", "limit": 15.0, "limit_burst": 48.0}, {"name": "steel", "limit": 0.0}],
+        "extra": {"class_writes": [false, true], "cold_bears": 70.0, "largest": 8, "mean_units": 2.19},
+        "limits": {"cancel": true, "connect_timeout_us": 250000, "idle_close_us": 30000000, "max_attempts": 3},
+        "rules": {"ask_within_us": 10000000, "cold_from": 0.2, "cold_us": 18000000, "fall_multiple": 4.0,
+                  "fall_us": 2000000, "extra_ratio": 0.25, "look_back_us": 5000000, "free_resends": 3.0}})
+}
+
+/// The settings with the value at a path, by `/`, changed; none: taken out.
+fn with(path: &str, value: Option<Value>) -> Value {
+    let mut all = whole();
+    let (parent, key) = path.rsplit_once('/').expect("a path");
+    let parent = all.pointer_mut(parent).expect("there").as_object_mut().expect("an object");
+    match value {
+        Some(value) => drop(parent.insert(key.to_owned(), value)),
+        None => drop(parent.remove(key).expect("it was there")),
+    }
+    all
+}
+
+#[test]
+fn sound_settings_are_read() {
+    let named = settings::of(&whole()).expect("sound");
+    assert_eq!(
+        (named.groups, named.plans),
+        (vec!["scan".into(), "stamp".into()], vec!["copper".into(), "steel".into()])
+    );
+    assert!(!named.terms.list_pushed && named.terms.hosts == 3 && named.longest == 20_000);
+}
+
+#[test]
+fn each_absent_value_that_nothing_strict_can_stand_for_is_refused_by_its_field() {
+    for path in [
+        "/balancers",
+        "/profiles/0/name",
+        "/profiles/0/aim_us",
+        "/profiles/1/deadline_us",
+        "/profiles/1/repeat",
+        "/service_levels/0/name",
+        "/service_levels/0/limit",
+        "/limits/connect_timeout_us",
+        "/rules/cold_from",
+        "/rules/fall_us",
+        "/rules/look_back_us",
+    ] {
+        let why = settings::of(&with(path, None)).expect_err(path);
+        let field = path[1..].replace("/0/", "[0].").replace("/1/", "[1].").replace('/', ".");
+        assert_eq!(why.lines().count(), 1, "{path}: {why}");
+        assert!(why.starts_with(&format!("settings.{field}: expected ")), "{path}: {why}");
+    }
+}
+
+#[test]
+fn each_value_that_cannot_be_read_is_refused_by_its_field() {
+    for (path, value) in [
+        ("/registry_mode", json!("sometimes")),
+        ("/profiles/1/key_scope", json!("planet")),
+        ("/profiles/0/repeat", json!("twice")),
+        ("/profiles/0/aim_us", json!("soon")),
+        ("/profiles/0/worth", json!(-1.0)),
+        ("/profiles/1/name", json!("scan")),
+        ("/service_levels/0/limit", json!("none")),
+        ("/limits/cancel", json!("yes")),
+        ("/limits/max_attempts", json!(-3)),
+        ("/rules/cold_us", json!([])),
+    ] {
+        let why = settings::of(&with(path, Some(value))).expect_err(path);
+        let field = path.rsplit('/').next().expect("a field");
+        assert_eq!(why.lines().count(), 1, "{path}: {why}");
+        assert!(why.contains(&format!("{field}: expected ")), "{path}: {why}");
+    }
+}
+
+#[test]
+fn all_that_is_wrong_is_told_at_once() {
+    let mut all = with("/profiles/0/repeat", Some(json!("twice")));
+    all["limits"]["cancel"] = json!(3);
+    assert_eq!(settings::of(&all).expect_err("two faults").lines().count(), 2);
+}
+
+#[test]
+fn what_is_absent_is_read_as_the_strictest() {
+    let read = |path: &str| settings::of(&with(path, None)).expect("sound");
+    let effect = |path: &str| read(path).terms.groups[1].effect;
+    assert_eq!(effect("/profiles/1/key_scope"), Effect::Fingerprinted { scope: Scope::Cell, memory: 9_000 });
+    assert_eq!(effect("/profiles/1/key_ttl_us"), Effect::Fingerprinted { scope: Scope::Zone, memory: 0 });
+    assert!(read("/registry_mode").terms.list_pushed, "what the service knows counts at once");
+    assert!(!read("/limits/cancel").terms.may_cancel);
+    assert_eq!(read("/service_levels/0/limit_burst").terms.plans[0].limit_burst, 0.0);
+}
