Nodes of zones that the settings lack count as in no zone together; a story waits for its greeting

Each such node is alone now. Test: nodes_of_zones_that_the_settings_lack_are_in_no_zone_together; by the old line all four would be one.

--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -181,9 +181,10 @@
     client.send(&stand::read_text("r", 0, 50_000));
     until("it waits for a connection", || node.waiting() == 1);
     rig.stop();
+    let queued = node.queued();
     node.open();
-    // The fillers' connections, and the host's: up, and spoken on, before the host has looked.
-    until("the node has spoken", || node.waiting() == 0);
+    // Those in its queue, and the host: what it says stands in the host's socket before the host has looked.
+    until("the node has spoken to the host", || node.connections() == queued + 1);
     node.greets("");
     rig.go_on();
     let (status, body) = client.answer().expect("an answer");
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -203,6 +203,11 @@
         sockets().iter().filter(|s| s.to == hex(self.at) && s.state == "02").count()
     }
 
+    /// How many stand in its queue before it is opened.
+    pub fn queued(&self) -> usize {
+        self.queue.lock().expect("sound").len()
+    }
+
     /// Its connections that are up.
     pub fn established(&self) -> usize {
         sockets().iter().filter(|s| s.from == hex(self.at) && s.state == "01").count()
@@ -240,7 +245,9 @@
                     return;
                 }
                 let greeting = own.greeting.lock().expect("sound").clone();
-                let _ = socket.write_all(greeting.as_bytes());
+                if socket.write_all(greeting.as_bytes()).is_ok() && !greeting.is_empty() {
+                    let _ = socket.peer_addr().map(|_| delivered(&socket));
+                }
                 let ends = socket.try_clone().expect("a descriptor");
                 let connection = {
                     let mut open = own.open.lock().expect("sound");
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -92,9 +92,12 @@
             if !self.known(entry) {
                 continue;
             }
-            let zone = named.zones.iter().position(|z| *z == entry.site).unwrap_or(named.zones.len());
+            let node = self.node(&entry.name);
+            // Of a zone that the settings lack nothing is known, not even that two nodes are in the same one.
+            let alone = named.zones.len() + node.0 as usize;
+            let zone = named.zones.iter().position(|z| *z == entry.site).unwrap_or(alone);
             into.push(Listed {
-                node: self.node(&entry.name),
+                node,
                 zone: zone as u32,
                 shard: entry.shard,
                 state: match entry.health {
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -201,6 +201,25 @@
     assert!(list::read(b"{\"seq\":4,\"whole\":tr").is_err() && list::read(b"[]").is_err());
 }
 
+#[test]
+fn nodes_of_zones_that_the_settings_lack_are_in_no_zone_together() {
+    let mut names = Names::default();
+    let node = |n: u32, zone: &str| {
+        let entry = ENTRY.replace("s-1", &format!("s-{n}"));
+        entry.replace("\"site\":\"a\"", &format!("\"site\":\"{zone}\""))
+    };
+    let all = [node(1, "a"), node(2, "a"), node(3, "x"), node(4, "x"), node(5, "y"), node(6, "")].join(",");
+    let text = format!(r#"{{"seq":1,"whole":true,"hosts":[{all}]}}"#);
+    let mut listed = Vec::new();
+    names.listed(&list::read(text.as_bytes()).expect("sound"), &named(), &mut listed);
+    let mut zones: Vec<u32> = listed.iter().map(|l| l.zone).collect();
+    assert_eq!(zones[0], zones[1]);
+    zones.dedup();
+    zones.sort_unstable();
+    zones.dedup();
+    assert_eq!(zones.len(), 5, "each of the others alone");
+}
+
 #[test]
 fn a_node_that_left_without_ever_being_known_gets_no_name() {
     let mut names = Names::default();
