What is told at the end of what is still in hand is decided in conduct, and counted

close_all chose the status itself and left shed and failed uncounted; Leaving::harmless decides, and the answers go by shed and fail. What clients are told is unchanged.

--- a/crates/conduct/src/front.rs
+++ b/crates/conduct/src/front.rs
@@ -63,6 +63,12 @@
         self.answers_by
     }
 
+    /// What is told of a block I/O that the host can't wait for any longer as it ends: whether trying it again is
+    /// harmless. So many submits of it were made, and any of them may have run.
+    pub fn harmless(submits: u32) -> bool {
+        submits == 0
+    }
+
     /// Whether a host with so many clients left is over.
     pub fn over(&self, now: Millis, clients: usize) -> bool {
         !self.lets_in(now) && clients == 0
@@ -186,6 +192,11 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn at_the_end_only_what_was_never_sent_is_told_to_be_harmless() {
+        assert!(Leaving::harmless(0) && !Leaving::harmless(1));
+    }
+
     fn doing(what: Doing, since: Millis) -> Guest {
         Guest { doing: what, since, ..Guest::new(0) }
     }
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -2,6 +2,7 @@
 use crate::clients::Clients;
 use crate::nodes::{Came, Good, Nodes, Ready};
 use mallowseam_conduct::Millis;
+use mallowseam_conduct::front::Leaving;
 use mallowseam_platform::answer;
 use mallowseam_platform::list::{Health, News};
 use mallowseam_platform::names::{Names, Shut};
@@ -140,9 +141,13 @@
     pub fn close_all(&mut self, scheduler: &mut Scheduler) {
         for at in self.held.indices() {
             let Some(held) = self.held.get(at).filter(|h| h.client.is_some()) else { continue };
-            let status = if held.submits == 0 { answer::SHED } else { answer::FAILED };
+            let harmless = Leaving::harmless(held.submits);
             self.take_back(BioId(at));
-            self.final_answer(BioId(at), status, 0);
+            if harmless {
+                self.shed(BioId(at), 0)
+            } else {
+                self.fail(BioId(at))
+            }
             let now = self.now;
             scheduler.gone(self, now, BioId(at));
             self.settle(scheduler);
