A call to the list service that never had a word is given up at its time, as before

Seen: storms::the_service_takes_calls_and_says_nothing_and_then_answers failed with 29 calls waiting of 16: with a call without a first word stood on in the service's queue beside the next one. Only a watch that had spoken is listened to now; it takes no turn of the service (run.rs look, conduct/watch.rs stands).

--- a/crates/conduct/src/watch.rs
+++ b/crates/conduct/src/watch.rs
@@ -45,8 +45,14 @@
         }
     }
 
-    /// Whether it has failed by now; told once. A service may take its silence for a watch that stands, so another is
-    /// called beside it, and it is listened to until that one has spoken.
+    /// Whether it stands as a watch: it has spoken. One that has not only waits for its turn, and given up it stands in
+    /// nobody's way.
+    pub fn stands(&self) -> bool {
+        self.heard.is_some()
+    }
+
+    /// Whether it has failed by now; told once. Another is called beside one that stands, which is listened to until
+    /// that one has spoken.
     pub fn fails(&mut self, now: Millis) -> bool {
         let fails = !self.doubted && now >= self.fails_at();
         self.doubted |= fails;
@@ -110,7 +116,10 @@
     #[test]
     fn silence_is_told_once() {
         let mut watch = Watch::new(0);
+        watch.answered();
+        assert!(!watch.stands(), "a head alone is no word");
         watch.heard(10);
+        assert!(watch.stands());
         assert!(!watch.fails(10 + SILENT - 1) && watch.fails(10 + SILENT) && !watch.fails(90_000));
     }
 
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -349,8 +349,14 @@
             }
             if !call.up() {
                 self.lost(at, "no connection");
-            } else if self.pair.is_last(at) {
-                tracing::warn!(address = %call.address(), "the list service says nothing");
+                continue;
+            }
+            tracing::warn!(address = %call.address(), "the list service says nothing");
+            // A call without a word takes a place in the service's queue; a watch that had one takes none.
+            if !call.watch.stands() {
+                self.end(at);
+            }
+            if self.pair.is_last(at) {
                 self.desk.list_failed(&mut self.scheduler, ListForm::Silent);
             }
         }
