--- a/crates/gateway/tests/platform/lists.rs
+++ b/crates/gateway/tests/platform/lists.rs
@@ -13,6 +13,15 @@
     })
 }
 
+/// A host and a list service whose watch stands: all nodes are told of, as version 50.
+fn watched(nodes: usize) -> (Service, Rig) {
+    let service = Service::new();
+    let rig = rig(&service, nodes, |config| config);
+    service.say(0, HEAD);
+    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    (service, rig)
+}
+
 /// The configuration with another list service.
 fn moved(config: &str, service: &Service) -> String {
     let from = config.find("\"discovery\":\"").expect("a field") + "\"discovery\":\"".len();
@@ -105,10 +114,7 @@
 
 #[test]
 fn a_service_that_counts_anew_from_below_is_asked_for_its_whole_list() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     serves(&rig);
     service.end(0);
     // Started anew, it counts from 5, and has nothing that came after 50.
@@ -128,10 +134,7 @@
 
 #[test]
 fn a_repeated_old_change_neither_opens_a_drained_node_nor_ends_the_watch() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     service.line(0, 51, false, &entry(&rig.nodes, 0, "draining"));
     obeys_the_drain(&rig, 0);
     service.line(0, 51, false, &entry(&rig.nodes, 0, "ready"));
@@ -153,10 +156,7 @@
 
 #[test]
 fn a_line_without_end_is_no_sign_of_life() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     // Bytes keep coming, and never a whole line.
     until("it calls anew", || {
         service.say(0, &chunk(" "));
@@ -167,10 +167,7 @@
 
 #[test]
 fn a_host_whose_watch_has_fallen_silent_is_never_without_a_call_that_could_hear() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     // The service takes calls and says nothing. Each call but one is seen to come beside one that stands.
     until("it has called several times", || {
         assert!(service.standing() > 0, "nobody could hear after {} calls", service.calls());
@@ -184,10 +181,7 @@
 
 #[test]
 fn what_a_silent_watch_still_says_is_heard_until_the_next_has_spoken_and_not_after() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     // With its head the call has longer than this story takes until its first line.
     service.say(1, HEAD);
     service.line(0, 51, false, &entry(&rig.nodes, 0, "draining"));
@@ -200,10 +194,7 @@
 
 #[test]
 fn a_drain_is_obeyed_that_stands_in_a_line_with_an_entry_that_cannot_be_read() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     serves(&rig);
     let drain = entry(&rig.nodes, 0, "draining");
     let unread = entry(&rig.nodes, 1, "ready").replace("\"block\":1", "\"block\":\"none\"");
@@ -230,10 +221,7 @@
 
 #[test]
 fn a_line_cut_off_in_its_middle_changes_nothing_and_is_asked_for_again() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     let drain = line(51, false, &entry(&rig.nodes, 0, "draining"));
     service.say(0, &chunk(&drain[..drain.len() / 2]));
     service.end(0);
@@ -246,10 +234,7 @@
 
 #[test]
 fn a_last_line_and_the_end_of_its_watch_found_in_one_round_are_both_heard() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     serves(&rig);
     rig.stop();
     service.line(0, 51, false, &entry(&rig.nodes, 0, "draining"));
@@ -261,10 +246,7 @@
 
 #[test]
 fn a_drain_listed_while_a_watch_was_away_is_obeyed_with_the_next_ones_first_word() {
-    let service = Service::new();
-    let rig = rig(&service, 2, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(2);
     serves(&rig);
     service.end(0);
     service.called(1);
@@ -298,10 +280,7 @@
 
 #[test]
 fn a_node_replaced_under_its_address_serves_on_under_its_new_name() {
-    let service = Service::new();
-    let rig = rig(&service, 1, |config| config);
-    service.say(0, HEAD);
-    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    let (service, rig) = watched(1);
     serves(&rig);
     let (gone, new) = (entry(&rig.nodes, 0, "gone"), rig.nodes[0].entry("s-9", 0, "ready"));
     rig.stop();
