Hosts that know the list service to be too slow for all within 6 s keep their turns

Cause: held every fleet to 4.6 s between calls, also where `--list-turn` says that they take longer than that in sum.

Change: past 5.4 s of calls, where settings say so, the span is the sum of the turns as before. Where nobody says it 30 ms is a guess, and the rule comes first.

Hosts nobody tells have their list within 6 s of a quick service's return, 100 to 1,000 of them (model).

--- a/crates/gateway/tests/platform/lists.rs
+++ b/crates/gateway/tests/platform/lists.rs
@@ -112,6 +112,24 @@
     }
 }
 
+#[test]
+fn one_of_many_hosts_whose_calls_fail_calls_again_in_time_to_hear_within_six_seconds_of_the_return() {
+    let service = Service::new();
+    let rig = rig(&service, 1, |config| config.replace("\"balancers\": 1", "\"balancers\": 300"));
+    service.say(0, HEAD);
+    service.line(0, 50, true, &entries(&rig.nodes, "ready"));
+    service.end(0);
+    // Busy or away: whoever calls just before its return must call again early enough to be answered.
+    for call in 1..=2 {
+        let from = Instant::now();
+        service.called(call);
+        assert!(from.elapsed() < Duration::from_millis(4_800), "call {call}: {:?}", from.elapsed());
+        service.say(call, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    }
+    service.called(3);
+    tells_of_a_drain(&rig, &service, 3, 0);
+}
+
 #[test]
 fn a_service_that_counts_anew_from_below_is_asked_for_its_whole_list() {
     let (service, rig) = watched(2);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -62,6 +62,7 @@
 const ASK_MOST: Tick = 10_000; // ticks: the longest wait between failed calls of few hosts
 const ASK_PART: f64 = 0.8; // of the time that a host may go without asking: the rest is for the call
 const ASK_BACK: Tick = 46_000; // ticks: from a call that fails to the next, at most: 1.2 s for that one, of 6 s
+const ASK_FITS: Tick = 54_000; // ticks of calls: where more are known to come, no pacing has all served in 6 s
 const ASK_SILENT: Tick = 16_000; // ticks: what silence leaves: 3.2 s to notice, 1.2 s for the call, of 6 s
 const ASK_MOVED: Tick = 20_000; // ticks: hosts that hear of another service ask it spread over this at most
 const IDLE_VOLUME: Tick = 100_000; // ticks: a volume unseen this long is forgotten, once its store is full
@@ -277,6 +278,7 @@
     /// When the call was made that nothing was heard of since.
     asked: Option<Tick>,
     ask_span: Tick,
+    ask_back: Tick,
     ask_wait: Tick,
     silent: bool,
     waking: Tick,
@@ -308,11 +310,13 @@
         let mut pcg = Pcg::new(seed);
         // All hosts together ask no more than the list service handles, whoever else starts or lost it, as
         // far as the rule on drains lets them wait: it holds them to what they would have been told, and to
-        // all that the service had while it could be reached, 6 s later.
+        // all that the service had while it could be reached, 6 s later. A crowd is of use only where nobody
+        // says that the service is too slow for so many: then it may be quicker.
         let part = if terms.ask_within > 0 { ASK_PART * terms.ask_within as f64 } else { f64::INFINITY };
         let may_wait = if terms.list_pushed { ASK_FIRST } else { part as Tick };
         let turns = terms.ask_turn.unwrap_or(ASK_TURN) * Tick::from(terms.hosts);
-        let ask_span = turns.min(may_wait).min(ASK_BACK).max(ASK_FIRST);
+        let ask_back = if terms.ask_turn.is_some() && turns > ASK_FITS { turns } else { ASK_BACK };
+        let ask_span = turns.min(may_wait).min(ask_back).max(ASK_FIRST);
         let first = pcg.below(ask_span as u64) as Tick;
         let ask_at = if terms.list_on_request { now + first } else { Tick::MAX };
         Scheduler {
@@ -346,6 +350,7 @@
             next_window: now + WINDOW,
             ask_at,
             ask_span,
+            ask_back,
             ask_wait: ask_span,
             waking: Tick::MAX,
             losing: now,
@@ -366,7 +371,7 @@
             let drawn = self.pcg.below(self.ask_span.min(most) as u64) as Tick;
             let wait = if silent || self.ask_wait == 0 { drawn } else { self.ask_wait };
             // The service may have been back just after that call: the time that it took is not had again.
-            let latest = self.asked.map_or(Tick::MAX, |asked| (asked + ASK_BACK).max(now + 1));
+            let latest = self.asked.map_or(Tick::MAX, |asked| (asked + self.ask_back).max(now + 1));
             // A call that is due sooner, to another service or after silence, is not put off.
             self.ask_at = self.ask_at.min(now + wait).min(latest);
             self.ask_wait = (self.ask_wait * 2).clamp(self.ask_span, self.ask_span.max(ASK_MOST));
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -270,6 +270,9 @@
     let paced = Terms { hosts: 300, ..terms() };
     let last = last_asks(&paced, |_| {});
     assert!((40_000..=46_000).contains(&last), "what the service has counts as told after 6 s: {last}");
+    let told = Terms { ask_turn: Some(300), ..paced.clone() };
+    let last = last_asks(&told, |_| {});
+    assert!(last > 80_000, "30 ms for each of 300 hosts, where they are known to take it: {last}");
     let fewer = Terms { hosts: 100, ..paced.clone() };
     let last = last_asks(&fewer, |_| {});
     assert!((27_000..=30_100).contains(&last), "30 ms for each of 100 hosts: {last}");
