Nothing begins for clients that left before the host looked, or behind an old word of the poll

Cause, forced on real sockets: a connection was read in the round that let it in (`run.rs` `round`: `accept`, then `turns`), ahead of the poll's first word of it. Whoever had connected, asked and left by then was served: with idle connections to its node and 100 such clients, 4 attempts (gone0 to gone3) began on, each a break from the third on. And whatever a long round began late went by what the poll had said at its start.

Change: connections let in are read in the next round, once the poll has told of them. Where that is not so (a full house is looked at one by one), or the poll's word is older than 30 ms of the 0.1 s that the users allow (`conduct::front`), the client's socket is looked at before a block I/O is taken and before a submit begins. A long list counts as time.

--- a/crates/conduct/src/front.rs
+++ b/crates/conduct/src/front.rs
@@ -14,6 +14,9 @@
 /// A new connection whose first bytes may still be on their way: clients send with the connection up, and a few
 /// round trips are under this. Only where nothing else gives way, one goes sooner.
 const SILENT_YIELDS: Millis = 5;
+/// Who leaves is to be heard of within 0.1 s (the users' page), also in a round of the loop that has much to do or on a
+/// busy machine: what the poll has said is gone by for a third of that.
+const POLL_COUNTS: Millis = 30;
 /// What a client still sends behind an error is read so that the error reaches it, within these.
 const LINGER: Millis = 500;
 const LINGER_BYTES: usize = 256 * 1024;
@@ -181,6 +184,11 @@
     }
 }
 
+/// Whether a client is looked at before anything begins for it, so long after the poll was asked.
+pub fn looks_again(since_poll: Millis) -> bool {
+    since_poll > POLL_COUNTS
+}
+
 /// Which connection gives way to a new one: one that is over, one idle for long, then the longest silent, then the
 /// longest idle. A crowd that says nothing, or asks once and stays, so pushes out itself. `guests`: those that were looked at and had nothing to read.
 /// None: the new one is let in and closed at once.
--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -77,6 +77,23 @@
     assert!(rig.nodes[0].seen().iter().filter(|s| s.id == "r").count() <= 2);
 }
 
+#[test]
+fn nothing_is_sent_for_clients_that_came_asked_and_left_before_the_host_looked() {
+    let rig = Rig::new(1);
+    // Connections to its node stand idle: what is sent on them goes at once.
+    (0..4).for_each(|n| assert_eq!(rig.client().read(&format!("ahead{n}"), 0).0, 200));
+    rig.stop();
+    for n in 0..100 {
+        let mut client = rig.client();
+        client.send(&stand::read_text(&format!("gone{n}"), 0, 5_000));
+        WAYS[n % WAYS.len()](client);
+    }
+    rig.go_on();
+    assert_eq!(rig.client().read("behind", 0).0, 200);
+    let seen: Vec<String> = rig.nodes[0].seen().into_iter().map(|s| s.id).collect();
+    assert!(seen.iter().all(|id| !id.starts_with("gone")), "{seen:?}");
+}
+
 #[test]
 fn a_crowd_that_comes_while_the_host_stands_still_is_not_put_off_by_a_second() {
     let rig = Rig::with(1, |config, _| config.replace("\"sockets\":256", "\"sockets\":2048"));
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -10,6 +10,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::Shutdown;
 
 struct Client {
@@ -21,7 +22,9 @@
     whole: Option<Whole>,
     bio: Option<BioId>,
     out: Parcel,
-    /// The socket may have more to read; its client has ended its side; nothing follows the answer in `out`.
+    /// The poll has told of it; the socket may have more to read; its client has ended its side; nothing follows the
+    /// answer in `out`.
+    told: bool,
     readable: bool,
     left: bool,
     last: bool,
@@ -41,6 +44,15 @@
         self.readable |= matches!(self.socket.peek(&mut [0]), Ok(n) if n > 0);
         self.readable
     }
+
+    /// Whether it has left, by a look at its socket ahead of the poll. The end shows once all before it is read.
+    fn has_left(&mut self) -> bool {
+        self.left |= match self.socket.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        };
+        self.left
+    }
 }
 
 /// What a look at a client's connection came to.
@@ -146,6 +158,7 @@
             whole: None,
             bio: None,
             out: Parcel::default(),
+            told: false,
             readable: true,
             left: false,
             last: false,
@@ -173,6 +186,7 @@
     /// The poll has something of a connection. Some: its client has left what is in hand.
     pub fn ready(&mut self, at: u32, readable: bool, ended: bool, now: Millis) -> Option<BioId> {
         let client = self.all.get_mut(at)?;
+        client.told = true;
         client.readable |= readable || ended;
         client.left |= ended;
         if !client.out.is_empty() {
@@ -276,9 +290,9 @@
         Some((head, &client.buffer[whole.body..whole.end]))
     }
 
-    /// Whether the client of a whole request is known to have gone.
-    pub fn left(&self, at: u32) -> bool {
-        self.all.get(at).is_none_or(|c| c.left)
+    /// Whether the client of a whole request has gone. `looks`: what the poll has said is too old to go by.
+    pub fn left(&mut self, at: u32, looks: bool) -> bool {
+        self.all.get_mut(at).is_none_or(|c| c.left || (looks || !c.told) && c.has_left())
     }
 
     /// The request of a connection is the scheduler's now.
--- a/crates/platform-host/src/desk.rs
+++ b/crates/platform-host/src/desk.rs
@@ -2,7 +2,7 @@
 use crate::clients::Clients;
 use crate::nodes::{Came, Good, Nodes, Ready};
 use mallowseam_conduct::Millis;
-use mallowseam_conduct::front::Leaving;
+use mallowseam_conduct::front::{self, Leaving};
 use mallowseam_platform::answer;
 use mallowseam_platform::list::{Health, News};
 use mallowseam_platform::names::{Names, Shut};
@@ -14,6 +14,9 @@
 use mallowseam_sockets::slots::Slots;
 use std::collections::VecDeque;
 
+#[cfg(test)]
+mod tests;
+
 /// A block I/O, from its client's whole request until the scheduler releases it.
 struct Held {
     id: Id,
@@ -39,8 +42,9 @@
 
 pub struct Desk {
     pub now: Tick,
-    /// When what this round hears was there to be heard.
+    /// When what this round hears was there to be heard, and when the poll told of it.
     pub heard: Tick,
+    pub polled: Tick,
     pub named: Named,
     pub clients: Clients,
     pub nodes: Nodes,
@@ -59,6 +63,7 @@
         Desk {
             now,
             heard: now,
+            polled: now,
             named,
             clients,
             nodes,
@@ -93,7 +98,7 @@
                 self.clients.last_answer(at, status, words.as_bytes(), now);
             }
             // Whoever has gone gets nothing done: no node works for it.
-            Ok(Asked::Block(_)) if self.clients.left(at) => {
+            Ok(Asked::Block(_)) if self.clients.left(at, self.polled_long_ago()) => {
                 self.clients.answer(at, answer::SHED, b"", 0, now);
             }
             Ok(Asked::Block(block)) => {
@@ -117,16 +122,25 @@
     /// The client of a block I/O has gone.
     pub fn left(&mut self, scheduler: &mut Scheduler, bio: BioId) {
         if let Some(at) = self.held.get_mut(bio.0).and_then(|h| h.client.take()) {
-            self.counts.left += 1;
             let now = self.now;
             self.take_back(bio);
             scheduler.gone(self, now, bio);
-            // It may have closed only its own side; then this still tells it.
-            self.clients.answer(at, answer::FAILED, b"", 0, self.millis());
+            self.says_farewell(at);
             self.settle(scheduler);
         }
     }
 
+    /// A client that has left may have closed only its own side; then this still tells it.
+    fn says_farewell(&mut self, at: u32) {
+        self.counts.left += 1;
+        self.clients.answer(at, answer::FAILED, b"", 0, self.millis());
+    }
+
+    /// Whether clients may have left unseen for so long that nothing may begin for them without a look.
+    fn polled_long_ago(&self) -> bool {
+        front::looks_again(millis(self.now - self.polled))
+    }
+
     /// A submit of which no last byte has gone is taken back with its client, whether or not the settings allow to
     /// call off what has: nothing has run, and nobody wants it to any more.
     fn take_back(&mut self, bio: BioId) {
@@ -280,6 +294,12 @@
         // latency goals are.
         let by = self.clients.leaving.and_then(|l| l.answers_by());
         let limit = by.map_or(limit, |by| limit.min(ticks(by) - now));
+        let looks = self.polled_long_ago();
+        let Some(held) = self.held.get_mut(bio.0) else { return };
+        if let Some(at) = held.client.filter(|at| looks && self.clients.left(*at, true)) {
+            held.client = None;
+            self.says_farewell(at);
+        }
         let Some(held) = self.held.get_mut(bio.0) else { return };
         held.submits += 1;
         let moot = held.hard_limit <= now || limit <= 0 || most > 0 && held.submits > most;
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -247,6 +247,7 @@
     /// nodes make room for, and time-outs count only what had not come by now.
     fn round(&mut self, events: &Events) {
         self.tick();
+        self.desk.polled = self.desk.now;
         // Time first: a host that was stopped must not take what has come since for late.
         self.part.iter_mut().for_each(|p| p.tick());
         // A round that is full may leave the list's event for the next one, behind what clients ask.
@@ -282,10 +283,11 @@
             }
         }
         self.clients_ready(events, false);
+        self.turns(ROUND);
+        // Those let in are read once the poll has told of them: they may have left by now.
         if self.accepting {
             self.accept();
         }
-        self.turns(ROUND);
         if let Some(part) = self.part.as_mut().filter(|_| self.part_more) {
             self.part_more = part.heard();
         }
@@ -496,6 +498,8 @@
         call.ready(&mut self.scratch, &mut |h| heard.push(h));
         self.calls[at] = Some(call);
         for heard in heard {
+            // A long list takes its time: clients may leave meanwhile.
+            self.tick();
             match heard {
                 // Given up over the news before.
                 _ if self.calls[at].is_none() => return,
