Cold nodes under the sum of 24 hosts, restarts in every state of the list service, descriptors at their fewest

Cold nodes: `rehearse cold-sum` (24 hosts, uneven clients, one late, three that do not know of the start, six killed and back within the ramp).

Descriptors: with 64 of them, the fewest, filled by idle clients while the list service is away, the file at SIGHUP, the call, the next watch, nodes and clients have theirs, on the text before as well. A system that gives fewer than the configuration says was not noticed; now the limit is raised, or the host refused with both figures (63 of 64 in the story).

`a_split_in_the_middle_of_restarts` failed once ("its connection ended"), and not in 23 further runs, 15 of them five copies at once; its cause is not known.

--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! `mallowseam host` between small stand-ins: what passes on the sockets is what counts.
 mod crossings;
+mod descriptors;
 mod ending;
 mod lists;
 mod service;
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -137,8 +137,8 @@
     listed: Vec<Listed>,
     /// What the list service will come to know, and when.
     news: VecDeque<(Micros, u32, Listed)>,
-    /// Of what the service had while a host could not reach it: host, node, whether it takes submits, version.
-    unreached: Vec<(u32, u32, bool, u64)>,
+    /// What the service had while a host could not reach it: host, node, its entry, version.
+    unreached: Vec<(u32, u32, Listed, u64)>,
     history: VecDeque<(u64, u32)>,
     seq: u64,
     pub stores: Vec<Store<CallId>>,
--- a/crates/lab/tests/fleet/cold_start.rs
+++ b/crates/lab/tests/fleet/cold_start.rs
@@ -1,5 +1,6 @@
-use crate::stage::{changed, close, stage, until};
+use crate::stage::{changed, close, program, scene, stage, until};
 use mallowseam_lab::fleet::links::{Fault, Party, Side};
+use mallowseam_lab::fleet::play;
 
 #[test]
 fn five_hosts_start_at_once_each_has_a_list_by_one_call_and_all_serve() {
@@ -74,3 +75,15 @@
     let late = &outcome.verdict.lines[6..8];
     assert!(late.iter().all(|l| l.served > 10), "and they work: {late:?}");
 }
+
+#[test]
+fn what_twenty_four_hosts_send_in_sum_pushes_no_cold_node_over_though_some_are_late_killed_or_do_not_know() {
+    let text = include_str!("../../scripts/cold-sum.fleet");
+    let dir = tempfile::tempdir().expect("a directory");
+    let outcome = play::run(&scene(text), 7, &program(), dir.path(), &mut |_, _| {}).expect("a run");
+    let v = &outcome.verdict;
+    assert!(outcome.crashed.is_empty() && v.kept(), "{:?} {:?}", outcome.crashed, v.evidence());
+    assert_eq!((v.falls, v.unanswered, v.doubled), (0, 0, 0));
+    // Chance may add twice the root of what a node bears; the nodes of the rig bear none of that.
+    assert!(outcome.most_cold > 0.3 && outcome.most_cold < 1.0, "{}", outcome.most_cold);
+}
--- a/crates/platform-host/src/run.rs
+++ b/crates/platform-host/src/run.rs
@@ -14,7 +14,7 @@
 use mallowseam_scheduler::host::{Host, ListForm, NodeId, Terms, Tick};
 use mallowseam_scheduler::scheduler::Scheduler;
 use mallowseam_sockets::clock::{Clock, Looks, millis, span, ticks};
-use mallowseam_sockets::{listener, signals};
+use mallowseam_sockets::{descriptors, listener, signals};
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
 use std::io::{self, ErrorKind, Read};
@@ -102,6 +102,12 @@
 pub fn run(path: &Path, list_turn: Option<u64>) -> Result<(), Failure> {
     let mut config = load(path)?;
     config.named.terms.ask_turn = list_turn.map(ticks);
+    // Parted by what the configuration says, it would run short of them where nothing may be turned away.
+    let given = descriptors::given(config.sockets).map_err(failure("descriptors"))?;
+    if given < config.sockets {
+        let wanted = config.sockets;
+        return Err(Failure(format!("limits.sockets: {wanted}, where the system gives {given} descriptors")));
+    }
     let mut poll = Poll::new().map_err(failure("poll"))?;
     let mut host = Platform::open(path, config, &poll)?;
     let mut events = Events::with_capacity(EVENTS);
