--- a/crates/gateway/tests/platform/crossings.rs
+++ b/crates/gateway/tests/platform/crossings.rs
@@ -45,6 +45,21 @@
     }
 }
 
+#[test]
+fn a_submit_that_waited_for_its_connection_tells_its_node_what_is_left_of_its_time() {
+    let rig = Rig::of(vec![Node::shut().filled()], |config, _| patient(config));
+    let node = &rig.nodes[0];
+    let mut client = rig.client();
+    let from = Instant::now();
+    client.send(&stand::read_text("r", 0, 50_000));
+    until("it waits for a connection", || node.waiting() == 1);
+    until("some time has gone", || from.elapsed() > Duration::from_millis(400));
+    node.open();
+    assert_eq!(client.answer(), Some((200, "made for r".into())));
+    let told = node.seen()[0].wait;
+    assert!(told <= 50_000 - 400 && told > 30_000, "{told} ms of 50 s, 0.4 s after they began");
+}
+
 #[test]
 fn a_drain_takes_back_a_submit_that_waits_for_its_connection() {
     let rig = Rig::of(vec![Node::shut().filled(), Node::new()], |config, _| patient(config));
--- a/crates/gateway/tests/platform/stand.rs
+++ b/crates/gateway/tests/platform/stand.rs
@@ -151,6 +151,8 @@
     pub target: String,
     pub body: String,
     pub connection: usize,
+    /// How long the host says that it waits, in milliseconds.
+    pub wait: u64,
 }
 
 #[derive(Default)]
@@ -336,7 +338,9 @@
             let id = head.headers.single("X-Request-ID").expect("sound").expect("an id").to_owned();
             let body = String::from_utf8_lossy(&buffer[whole.body..whole.end]).into_owned();
             let target = head.target.to_owned();
-            self.seen.lock().expect("sound").push(Seen { id: id.clone(), target, body, connection });
+            let wait = head.headers.single("X-Timeout-Ms").expect("sound").expect("a time").parse();
+            let wait = wait.expect("milliseconds");
+            self.seen.lock().expect("sound").push(Seen { id: id.clone(), target, body, connection, wait });
             buffer.drain(..whole.end);
             reader.next();
             let text = format!("made for {id}");
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -13,6 +13,9 @@
 use std::io::ErrorKind;
 use std::net::Shutdown;
 
+#[cfg(test)]
+mod tests;
+
 struct Client {
     socket: TcpStream,
     guest: Guest,
--- a/crates/platform-host/src/nodes.rs
+++ b/crates/platform-host/src/nodes.rs
@@ -3,6 +3,7 @@
 use mallowseam_conduct::parting::{self, Fit, Keep};
 use mallowseam_http1::{AnswerHead, AnswerReader, Whole};
 use mallowseam_platform::answer::{self, Said};
+use mallowseam_platform::request;
 use mallowseam_scheduler::host::{BioId, Ending, NodeId, Tick};
 use mallowseam_sockets::clock::millis;
 use mallowseam_sockets::slots::Slots;
@@ -375,6 +376,8 @@
                 return Ready::Came(came(Ending::NoConnect));
             }
             line.up = true;
+            // What waited for its connection has less time left than it was written with.
+            request::write_wait(&mut line.out, millis(carried.limit_at - now).max(1));
         }
         if line.sent < line.out.len()
             && let Some(came) = self.push(place, Ending::NoConnect)
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -177,20 +177,31 @@
     "Idempotency-Key",
 ];
 
+/// What tells a node how long this host waits.
+const WAIT: &str = "X-Timeout-Ms: ";
+
 /// The request as a node gets it: what passes on unchanged, the rest worded anew. `wait`: milliseconds that this host
 /// waits.
 pub fn write(out: &mut Vec<u8>, head: &RequestHead, body: &[u8], wait: u64) {
     let said = "writing to memory";
-    write!(out, "{} {} HTTP/1.1\r\n", head.method, head.target).expect(said);
+    write!(out, "{} {} HTTP/1.1\r\n{WAIT}{wait}\r\n", head.method, head.target).expect(said);
     for name in PASSED_ON {
         if let Ok(Some(value)) = head.headers.single(name) {
             write!(out, "{name}: {value}\r\n").expect(said);
         }
     }
-    write!(out, "X-Timeout-Ms: {wait}\r\n").expect(said);
     if head.states_length() {
         write!(out, "Content-Length: {}\r\n", body.len()).expect(said);
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body);
 }
+
+/// Tells another wait in a request that was written and has not begun to go out: it may have waited itself.
+pub fn write_wait(out: &mut Vec<u8>, wait: u64) {
+    let line = |from: usize| out[from..].windows(2).position(|w| w == b"\r\n").map(|at| from + at);
+    let Some(from) = line(0).map(|end| end + 2) else { return };
+    if let Some(end) = line(from).filter(|end| out[from..*end].starts_with(WAIT.as_bytes())) {
+        drop(out.splice(from + WAIT.len()..end, wait.to_string().into_bytes()));
+    }
+}
