Waits of the new stories have a bound; two stories of the list share their play

Three busy waits of desk/tests.rs and clients/tests.rs, on a socket's bytes, could last for ever where these never came; one had a bound of its own. storms.rs had the same play of a quick service twice.

--- a/crates/lab/tests/fleet/storms.rs
+++ b/crates/lab/tests/fleet/storms.rs
@@ -30,6 +30,16 @@
     outcome
 }
 
+/// Plays it before a quick service, of which hosts think that it takes 250 ms for each of them: rules are kept.
+fn told_in_time(text: &str) {
+    let dir = tempfile::tempdir().expect("a directory");
+    let program = program().with(&["--list-turn", "250"]);
+    let text = format!("{HEAD}{text}").replace("takes 100ms", "takes 20ms");
+    let outcome = play::run(&scene(&text), 5, &program, dir.path(), &mut |_, _| {}).expect("a run");
+    assert!(outcome.crashed.is_empty() && outcome.verdict.kept(), "{:?}", outcome.verdict.evidence());
+    assert_eq!(outcome.watching, 20, "and all watch again");
+}
+
 fn fresh_within(outcome: &Outcome, ms: u64) {
     let last = outcome.verdict.fresh_within(1.0).expect("all");
     assert!(last <= ms * 1_000, "the last after {} ms", last / 1_000);
@@ -61,13 +71,7 @@
 fn what_the_service_had_while_it_was_away_is_heard_within_six_seconds_of_its_return() {
     // With 250 ms of the service for each host, turns of all of them take 5 s. Three nodes drain as it comes back, and
     // stay up.
-    let text = format!("{HEAD}day 19s\nat 4s list away for 5s\nat 8500ms node 0..3 replace for 9s\n");
-    let dir = tempfile::tempdir().expect("a directory");
-    let program = program().with(&["--list-turn", "250"]);
-    let text = text.replace("takes 100ms", "takes 20ms");
-    let outcome = play::run(&scene(&text), 5, &program, dir.path(), &mut |_, _| {}).expect("a run");
-    assert!(outcome.crashed.is_empty() && outcome.verdict.kept(), "{:?}", outcome.verdict.evidence());
-    assert_eq!(outcome.watching, 20, "and all watch again");
+    told_in_time("day 19s\nat 4s list away for 5s\nat 8500ms node 0..3 replace for 9s\n");
 }
 
 #[test]
@@ -181,11 +185,5 @@
 fn watches_fall_silent_and_each_host_has_asked_anew_before_what_it_misses_counts_as_told() {
     // Of 20 hosts 12 hear no more from 6 s on, and three nodes drain at 9 s. With 250 ms of the service for each host, a
     // draw over all of it (5 s) would leave some of them asking later than at 12 s.
-    let text = format!("{HEAD}day 15s\nat 6s list forgets 0..12\nat 9s node 0..3 replace for 5s\n");
-    let dir = tempfile::tempdir().expect("a directory");
-    let program = program().with(&["--list-turn", "250"]);
-    let text = text.replace("takes 100ms", "takes 20ms");
-    let outcome = play::run(&scene(&text), 5, &program, dir.path(), &mut |_, _| {}).expect("a run");
-    assert!(outcome.crashed.is_empty() && outcome.verdict.kept(), "{:?}", outcome.verdict.evidence());
-    assert_eq!(outcome.watching, 20, "and all watch again");
+    told_in_time("day 15s\nat 6s list forgets 0..12\nat 9s node 0..3 replace for 5s\n");
 }
--- a/crates/platform-host/src/clients/tests.rs
+++ b/crates/platform-host/src/clients/tests.rs
@@ -3,6 +3,7 @@
 use mio::Poll;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream as Peer};
+use std::time::{Duration, Instant};
 
 const READ: &str = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
 
@@ -34,7 +35,10 @@
     fn asks(&mut self, mut peer: &Peer, at: u32) {
         peer.write_all(READ.as_bytes()).expect("open");
         let client = self.clients.all.get(at).expect("let in");
-        while !matches!(client.socket.peek(&mut [0; 256]), Ok(n) if n == READ.len()) {}
+        let began = Instant::now();
+        while !matches!(client.socket.peek(&mut [0; 256]), Ok(n) if n == READ.len()) {
+            assert!(began.elapsed() < Duration::from_secs(5), "its request never came");
+        }
     }
 
     /// All turns that are due: those with a whole request.
--- a/crates/platform-host/src/desk/tests.rs
+++ b/crates/platform-host/src/desk/tests.rs
@@ -5,6 +5,7 @@
 use mio::{Poll, Token};
 use std::io::Write;
 use std::net::{Ipv4Addr, TcpListener};
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{"balancers": 1, "localities": ["a"], "registry_mode": "on_request",
   "profiles": [{"name": "look", "aim_us": 5000000, "deadline_us": 9000000, "repeat": "idempotent", "worth": 3.0}],
@@ -56,7 +57,7 @@
              X-Priority-Class: look\r\nX-Qos-Policy: gold\r\nX-Timeout-Ms: 8000\r\n\
              X-Placement: units=1,shard=0,hosts=1\r\n\r\n";
         client.write_all(text.as_bytes()).expect("open");
-        while !matches!(socket.peek(&mut [0; 1_024]), Ok(n) if n == text.len()) {}
+        until("its request comes", || matches!(socket.peek(&mut [0; 1_024]), Ok(n) if n == text.len()));
         socket.set_nonblocking(true).expect("a socket");
         let now = millis(self.desk.now);
         self.desk.clients.enter(TcpStream::from_std(socket), now);
@@ -89,6 +90,13 @@
     }
 }
 
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < Duration::from_secs(5), "waited in vain: {what}");
+    }
+}
+
 fn listen() -> TcpListener {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("an address")
 }
@@ -104,10 +112,7 @@
     };
     // Its end has come where the host's socket waits for the close of its own side.
     let closed = format!("{} {} 08", hex(host), hex(own));
-    let began = std::time::Instant::now();
-    while !std::fs::read_to_string("/proc/net/tcp").expect("a table").contains(&closed) {
-        assert!(began.elapsed() < std::time::Duration::from_secs(5), "its end never came");
-    }
+    until("its end comes", || std::fs::read_to_string("/proc/net/tcp").expect("a table").contains(&closed));
 }
 
 #[test]
