--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -42,7 +42,7 @@
 const SIGN: Micros = 2_000_000;
 /// What a host misses counts as told so long after its watch fell silent, or after the service had it and could be
 /// reached (the users' page).
-const TOLD_AFTER: Micros = 6_000_000;
+pub const TOLD_AFTER: Micros = 6_000_000;
 /// Pause between two questions whether a host is ready.
 const ASKS_READY: Micros = 20_000;
 /// A question to a host, and a client's connection, are given up after this.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 use clap::{Parser, Subcommand};
 use mallowseam_lab::fleet::views::{self, settles_within};
+use mallowseam_lab::fleet::world::TOLD_AFTER;
 use mallowseam_lab::fleet::{play as fleet, processes, scene, storm};
 use mallowseam_lab::rehearse::{self, Outcome, Program};
 use mallowseam_lab::view::{figures, small};
@@ -131,8 +132,6 @@
     },
 }
 
-/// What the list service has counts as told so long after it could be reached.
-const TOLD_AFTER: u64 = 6_000_000;
 /// Simulated time after which a case ends.
 const MODEL_MOST: u64 = 3_600_000_000;
 
