Testbed: a request that crosses the close of an idle connection is sent once more

Cause: the testbed's client, not the host. At the end of a shutdown's grace the host closes idle connections.

Change: the client sends such a request once more, on a new connection, by evidence alone: the connection had carried a request before, and the host's system answered the bytes with a reset, which it does for bytes that the host left unread. A request that was read, or the first one of a connection, is lost as before. The audit counts what was not taken, and finds a violation where a node got such a request, where the second sending has no answer, or where it lay unread for longer than the slack.

Three tests with a host played by the test: left unread, read and dropped, first request. The last two fail if any end of a connection counts as not taken; two tests of the audit with fabricated observations.

--- a/crates/audit/src/fleet/client_rules.rs
+++ b/crates/audit/src/fleet/client_rules.rs
@@ -1,5 +1,5 @@
 //! Rules on what clients are promised: responses, effects, the order of writes, retries and limits.
-use super::trace::{OperationTrace, Response};
+use super::trace::{Attempt, OperationTrace, Response};
 use super::{Audit, MICROS_PER_MS, ORDER_SLACK, Rule, Verdict};
 use crate::evidence::seconds;
 use crate::fleet::terms::{RETRY_BUDGET, VOLUME_LIMIT, VolumeLimit, has_limit};
@@ -17,6 +17,7 @@
         let mut violations = Vec::new();
         for operation in self.trace.operations.values() {
             verdict.requests += 1;
+            violations.extend(self.check_untaken(operation, verdict));
             if operation.responses.len() > 1 {
                 verdict.duplicated += 1;
                 violations.push(format!(
@@ -75,6 +76,35 @@
         }
     }
 
+    /// A host may close an idle connection while a request crosses the close, if it has not read the request. It had not
+    /// if it sent nothing to a node, and if the request did not lie in its socket for long.
+    fn check_untaken(&self, operation: &OperationTrace, verdict: &mut Verdict) -> Option<String> {
+        let untaken = operation.untaken?;
+        verdict.not_taken += 1;
+        let host = untaken.host;
+        let is_of_later_sending = |attempt: &Attempt| {
+            untaken.sent_again && operation.host == host && attempt.at >= operation.sent_at
+        };
+        let was_forwarded = operation
+            .attempts
+            .iter()
+            .any(|attempt| attempt.host == host && !is_of_later_sending(attempt));
+        if was_forwarded {
+            return Some(format!(
+                "{} was forwarded by host {host}, which closed its connection",
+                operation.id
+            ));
+        }
+        let is_late = untaken.after > self.slack && !operation.excused;
+        is_late.then(|| {
+            let unread_ms = untaken.after / MICROS_PER_MS;
+            format!(
+                "{} was left unread at host {host} for {unread_ms} ms",
+                operation.id
+            )
+        })
+    }
+
     /// A host that was killed need not respond; one that exited by itself must have.
     fn check_unanswered(
         &self,
@@ -86,7 +116,8 @@
             .trace
             .host_run_of(operation)
             .is_some_and(|run| run.killed_by(deadline + self.slack));
-        if killed || operation.excused {
+        let awaits_host = operation.untaken.is_some_and(|untaken| !untaken.sent_again);
+        if killed || operation.excused || awaits_host {
             return None;
         }
         verdict.unanswered += 1;
--- a/crates/audit/src/fleet/record.rs
+++ b/crates/audit/src/fleet/record.rs
@@ -52,6 +52,12 @@
         /// The operation.
         op: u64,
     },
+    /// The idle connection that a client sent a request on ended, and the host had left the request unread: it crossed
+    /// the host's close. The client sends it once more on a new connection.
+    RequestNotTaken {
+        /// The operation.
+        op: u64,
+    },
     /// The link between client and host was impaired meanwhile: a missing response is not held against the host.
     Excused {
         /// The operation.
--- a/crates/audit/src/fleet/trace.rs
+++ b/crates/audit/src/fleet/trace.rs
@@ -20,6 +20,8 @@
     pub responses: Vec<Response>,
     pub timed_out: bool,
     pub excused: bool,
+    /// A host that left it unread on an idle connection that it closed. The client has sent it once more.
+    pub untaken: Option<Untaken>,
     pub attempts: Vec<Attempt>,
 }
 
@@ -35,6 +37,16 @@
     }
 }
 
+/// A request that crossed the close of the idle connection that it was sent on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Untaken {
+    pub host: u32,
+    /// From sending it to the end of the connection.
+    pub after: Micros,
+    /// It was sent once more.
+    pub sent_again: bool,
+}
+
 /// A response that a client received.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Response {
@@ -133,7 +145,14 @@
                 units,
                 timeout,
             } => {
+                let earlier = self.operations.remove(&id).unwrap_or_default();
+                let untaken = earlier.untaken.map(|untaken| Untaken {
+                    sent_again: true,
+                    ..untaken
+                });
                 let sent = OperationTrace {
+                    untaken,
+                    attempts: earlier.attempts,
                     id,
                     host,
                     volume,
@@ -158,6 +177,13 @@
                 };
                 self.update(op, |o| o.responses.push(response));
             }
+            Event::RequestNotTaken { op } => self.update(op, |o| {
+                o.untaken = Some(Untaken {
+                    host: o.host,
+                    after: at.saturating_sub(o.sent_at),
+                    sent_again: false,
+                });
+            }),
             Event::ClientTimedOut { op } => self.update(op, |o| o.timed_out = true),
             Event::Excused { op } => self.update(op, |o| o.excused = true),
             _ => {}
--- a/crates/audit/tests/fleet/rules.rs
+++ b/crates/audit/tests/fleet/rules.rs
@@ -156,6 +156,53 @@
     );
 }
 
+/// A request that crosses the close of its connection at this time, and is then sent again.
+fn crosses_a_close(at: u64) -> Vec<Observation> {
+    vec![
+        request_sent(1, 10, true),
+        observed(at, Event::RequestNotTaken { op: 1 }),
+        request_sent(1, at, true),
+        node_received(1, 0, at + 2, 1),
+        node_responded(1, 0, at + 8),
+        response_received(1, at + 9),
+    ]
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_may_be_sent_once_more() {
+    assert_eq!(violated(crosses_a_close(11)), []);
+    let mut unanswered = crosses_a_close(11);
+    unanswered.truncate(3);
+    unanswered.push(observed(13, Event::ConnectionLost { op: 1 }));
+    assert_eq!(
+        violated(unanswered),
+        [Rule::Responses],
+        "the second sending is lost"
+    );
+    assert_eq!(
+        violated(crosses_a_close(300)),
+        [Rule::Responses],
+        "the host left it unread for long"
+    );
+}
+
+#[test]
+fn a_request_that_was_forwarded_did_not_cross_the_close_of_its_connection() {
+    let mut forwarded = crosses_a_close(20);
+    forwarded.insert(1, node_received(1, 0, 12, 1));
+    forwarded.insert(
+        2,
+        observed(13, Event::NodeConnectionLost { node: 0, op: 1 }),
+    );
+    assert!(violated(forwarded.clone()).contains(&Rule::Responses));
+    forwarded.truncate(4);
+    assert_eq!(
+        violated(forwarded),
+        [Rule::Responses],
+        "and it is not sent again"
+    );
+}
+
 #[test]
 fn a_write_that_may_be_executed_twice_violates_the_rule_on_effects() {
     let repeated = vec![
--- a/crates/testbed/src/fleet/addresses.rs
+++ b/crates/testbed/src/fleet/addresses.rs
@@ -48,7 +48,7 @@
     }
 
     /// Where clients reach a host.
-    pub(crate) fn host(self, host: u32) -> SocketAddr {
+    pub fn host(self, host: u32) -> SocketAddr {
         self.socket_address(host, PORT_HOST)
     }
 
--- a/crates/testbed/src/fleet/peers/clients.rs
+++ b/crates/testbed/src/fleet/peers/clients.rs
@@ -23,11 +23,36 @@
         self.request_hosts.len()
     }
 
+    /// Sends a request on an idle connection, or on a new one.
     pub(super) fn send_request(&mut self, operation: Operation) {
-        let Some((host, index)) = self.connection_for(&operation) else {
-            self.record(Event::NoHostAvailable { op: operation.id });
-            return self.schedule_retry(&operation, None);
+        let Some(host) = self.choose_host(&operation) else {
+            return self.on_no_host(&operation);
         };
+        let idle = self.idle_connections.get_mut(&host).and_then(Vec::pop);
+        match idle {
+            Some(index) => self.send_on(index, host, operation),
+            None => self.send_on_new_connection(host, operation),
+        }
+    }
+
+    fn send_on_new_connection(&mut self, host: u32, operation: Operation) {
+        let role = ConnectionRole::Client {
+            reader: ResponseReader::default(),
+            request: None,
+            is_reused: false,
+        };
+        match self.connect(host, role) {
+            Some(index) => self.send_on(index, host, operation),
+            None => self.on_no_host(&operation),
+        }
+    }
+
+    fn on_no_host(&mut self, operation: &Operation) {
+        self.record(Event::NoHostAvailable { op: operation.id });
+        self.schedule_retry(operation, None);
+    }
+
+    fn send_on(&mut self, index: u32, host: u32, operation: Operation) {
         if let Some(connection) = self.connections.get_mut(index)
             && let ConnectionRole::Client { request, .. } = &mut connection.role
         {
@@ -61,20 +86,27 @@
         self.send(index, text.as_bytes());
     }
 
-    /// A host for an operation, and an idle or new connection to it.
-    fn connection_for(&mut self, operation: &Operation) -> Option<(u32, u32)> {
+    /// A host for an operation.
+    fn choose_host(&mut self, operation: &Operation) -> Option<u32> {
         let states = &self.host_states;
         let is_ready = |host: u32| states[host as usize] == HostState::Ready;
-        let host = self
-            .client_load
-            .choose_host(operation, is_ready, &mut self.rng)?;
-        let idle = self.idle_connections.get_mut(&host).and_then(Vec::pop);
-        let new_role = || ConnectionRole::Client {
-            reader: ResponseReader::default(),
-            request: None,
-        };
-        let index = idle.or_else(|| self.connect(host, new_role()))?;
-        Some((host, index))
+        self.client_load
+            .choose_host(operation, is_ready, &mut self.rng)
+    }
+
+    /// The connection of a request has ended without a response. A request that crossed the close of an idle connection
+    /// and was left unread by the host (`is_untaken`) is sent once more, on a new connection.
+    pub(super) fn on_connection_lost(&mut self, operation: Operation, is_untaken: bool) {
+        self.request_hosts.remove(&operation.id);
+        if !is_untaken {
+            self.record(Event::ConnectionLost { op: operation.id });
+            return self.schedule_retry(&operation, None);
+        }
+        self.record(Event::RequestNotTaken { op: operation.id });
+        match self.choose_host(&operation) {
+            Some(host) => self.send_on_new_connection(host, operation),
+            None => self.on_no_host(&operation),
+        }
     }
 
     fn request_text(&self, operation: &Operation) -> String {
@@ -131,9 +163,13 @@
         };
         let host = connection.host;
         connection.timeout_id = None;
-        let ConnectionRole::Client { request, .. } = &mut connection.role else {
+        let ConnectionRole::Client {
+            request, is_reused, ..
+        } = &mut connection.role
+        else {
             return self.on_readiness_response(index, host, status);
         };
+        *is_reused = true;
         let Some(operation) = request.take() else {
             return self.close(index, true);
         };
--- a/crates/testbed/src/fleet/peers/connections.rs
+++ b/crates/testbed/src/fleet/peers/connections.rs
@@ -3,12 +3,13 @@
 use mallowseam_audit::trace::Micros;
 use mallowseam_http1::{RequestReader, ResponseReader};
 use mallowseam_load::client_load::Operation;
-use mallowseam_sockets::nonblocking::{self, ReadOutcome};
+use mallowseam_sockets::nonblocking::{self, ConnectionError, ReadOutcome};
 use mallowseam_stand_ins::links::{ConnectOutcome, LinkFault, Peer, Pipe, PipeOutput};
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use socket2::SockRef;
 use std::cmp::Reverse;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// A connection: its place in the table, and a number that tells it from later ones in the same place.
@@ -43,6 +44,8 @@
     Client {
         reader: ResponseReader,
         request: Option<Operation>,
+        /// It has carried a request before.
+        is_reused: bool,
     },
     /// A readiness check of a host.
     Readiness { reader: ResponseReader },
@@ -63,6 +66,8 @@
     unsent: Vec<u8>,
     /// Reading was stopped because the pipe to the peer was full.
     read_paused: bool,
+    /// It has ended, and the host has not read what was sent last.
+    is_left_unread: bool,
 }
 
 impl Connection {
@@ -119,6 +124,7 @@
             received: Vec::new(),
             unsent: Vec::new(),
             read_paused: false,
+            is_left_unread: false,
         })
     }
 
@@ -207,6 +213,7 @@
             PipeOutput::Closed | PipeOutput::Nothing => moved = false,
         }
         if nonblocking::write_buffer(&mut connection.socket, &mut connection.unsent).is_err() {
+            connection.is_left_unread = true;
             return self.close_pumped(index, false);
         }
         match connection.to_peer.poll(now, &to_peer) {
@@ -278,7 +285,8 @@
                     );
                 }
                 ReadOutcome::WouldBlock => return self.pump(index),
-                ReadOutcome::Closed(_) => {
+                ReadOutcome::Closed(error) => {
+                    connection.is_left_unread = is_left_unread(&connection.socket, &error);
                     connection.to_peer.close(now, &to_peer, &mut self.rng);
                     return self.pump(index);
                 }
@@ -349,17 +357,32 @@
                     self.record(Event::NodeConnectionLost { node, op });
                 }
             }
-            ConnectionRole::Client { request, .. } => {
+            ConnectionRole::Client {
+                request, is_reused, ..
+            } => {
                 if let Some(idle) = self.idle_connections.get_mut(&connection.host) {
                     idle.retain(|i| *i != index);
                 }
                 if let Some(operation) = request {
-                    self.request_hosts.remove(&operation.id);
-                    self.record(Event::ConnectionLost { op: operation.id });
-                    self.schedule_retry(&operation, None);
+                    let is_untaken = is_reused && connection.is_left_unread;
+                    self.on_connection_lost(operation, is_untaken);
                 }
             }
             ConnectionRole::Readiness { .. } => self.schedule_readiness_check(connection.host),
         }
     }
 }
+
+/// Whether the host's system discarded the last bytes that were sent on a connection which has ended: the host closed it
+/// before they arrived, or left them unread at its close. Either way its system answered with a reset.
+fn is_left_unread(socket: &TcpStream, error: &ConnectionError) -> bool {
+    match error {
+        // A reset that arrives behind the end of the stream is pending as a broken pipe.
+        ConnectionError::ClosedByPeer => matches!(
+            socket.take_error(),
+            Ok(Some(pending)) if pending.kind() == ErrorKind::BrokenPipe
+        ),
+        ConnectionError::Io(error) => error.kind() == ErrorKind::ConnectionReset,
+        ConnectionError::WriteZero => false,
+    }
+}
--- a/crates/testbed/tests/fleet/main.rs
+++ b/crates/testbed/tests/fleet/main.rs
@@ -1,4 +1,5 @@
 //! Several host processes, with faults on the links between them and their peers.
+mod closed_connections;
 mod cold_start;
 mod discovery_outages;
 mod membership;
