Test of a missed drain: each read comes on a connection of its own

What was seen: endpoint_list::a_drain_missed_between_watches_is_obeyed_with_the_next_one failed under load with "an answer": its connection ended without one.

Cause: the test, not the host. publish_drain connected its client first, then waited for the service's request and for the delivery of two messages, and only then sent the first byte. A host closes a connection that is silent for 2 s, which the platform asks of it (bad clients are owed an error or a close within 3 s). Under load the waits took longer than that.

--- a/crates/gateway/tests/platform/endpoint_list.rs
+++ b/crates/gateway/tests/platform/endpoint_list.rs
@@ -66,7 +66,7 @@
 /// Answers the request of this number with the drain of a node, and waits until it is obeyed. A request that
 /// replaces it, should this test be slower than the host waits, gets the same answer.
 fn publish_drain(host: &HostProcess, service: &ScriptedEndpointService, call: usize, at: usize) {
-    let (mut client, mut next) = (host.client(), call);
+    let mut next = call;
     service.wait_for_request(call);
     wait_until("the node is closed", || {
         while next < service.requests() {
@@ -74,10 +74,9 @@
             service.send_line(next, 51, false, &entry(&host.nodes, at, "draining"));
             next += 1;
         }
-        client
-            .read(&format!("t{}", host.next_number()), at as u32)
-            .0
-            == 503
+        // Each read comes on a connection of its own: one that is silent for 2 s is closed by the host.
+        let id = format!("t{}", host.next_number());
+        host.client().read(&id, at as u32).0 == 503
     });
     assert_drained(host, at);
 }
