Host: responses in the last 300 ms of a shutdown's grace say Connection: close

What callers saw: at the end of a shutdown's grace a host closed connections that were in use, between two requests. A request that crosses such a close has to be sent once more, on a new connection; a caller that does not do so has lost it.

Cause: responses said Connection: close only from the moment on in which no more requests were admitted, and the check that closes idle connections runs every 50 ms. A client with a request in less than every 50 ms was told; any other was idle at that moment.

Change: GracefulShutdown::ends_connections is true 300 ms before the end of admission. Admission and listener are as before, so that new connections are still let in.

Test: connections_in_use_end_with_a_response_that_says_so, eight clients that each ask every 200 ms.

--- a/crates/connection-policy/src/graceful_shutdown.rs
+++ b/crates/connection-policy/src/graceful_shutdown.rs
@@ -13,6 +13,10 @@
 /// Milliseconds before SIGKILL by which the last answer is sent: what a busy machine takes to deliver it.
 const KILL_MARGIN: Millis = 60;
 
+/// Milliseconds at the end of admission in which each response is the last on its connection. A client that is told so
+/// cannot send a request that crosses the close of its idle connection.
+const LAST_RESPONSES_PERIOD: Millis = 300;
+
 /// A graceful shutdown that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GracefulShutdown {
@@ -43,12 +47,18 @@
         }
     }
 
-    /// Whether clients are still admitted, and responses are not yet the last on their connections.
+    /// Whether clients are still admitted.
     #[must_use]
     pub fn admits_clients(&self, now: Millis) -> bool {
         now < self.admits_until
     }
 
+    /// Whether each response is the last on its connection.
+    #[must_use]
+    pub fn ends_connections(&self, now: Millis) -> bool {
+        now + LAST_RESPONSES_PERIOD >= self.admits_until
+    }
+
     /// By when whatever is admitted must be answered. None: within its own deadline.
     #[must_use]
     pub fn answer_deadline(&self) -> Option<Millis> {
--- a/crates/gateway/tests/platform/shutdown.rs
+++ b/crates/gateway/tests/platform/shutdown.rs
@@ -196,6 +196,31 @@
     assert!(!after(2_700), "{:?}", signalled.elapsed());
 }
 
+#[test]
+fn connections_in_use_end_with_a_response_that_says_so() {
+    // Each client asks every 200 ms: a connection that ends between two requests could cross the next one.
+    let mut host = HostProcess::new(1);
+    let mut clients: Vec<Client> = (0..8).map(|_| host.client()).collect();
+    host.signal(Signal::SIGTERM);
+    let mut served = 0;
+    while clients.iter().any(|client| !client.closes) {
+        for client in clients.iter_mut().filter(|client| !client.closes) {
+            let asked = Instant::now();
+            assert!(
+                client.try_read(&format!("r{served}"), 0).is_some(),
+                "ended between two requests, after {served} responses"
+            );
+            served += 1;
+            wait_until("the next client asks", || {
+                asked.elapsed() > Duration::from_millis(25)
+            });
+        }
+    }
+    assert!(served > 40, "{served}: served for most of the grace");
+    drop(clients);
+    assert_eq!(host.exit_code(), Some(0));
+}
+
 #[test]
 fn operator_shutdown_ends_once_in_flight_requests_are_answered() {
     let mut host = HostProcess::new(1);
--- a/crates/platform-host/src/clients/connection.rs
+++ b/crates/platform-host/src/clients/connection.rs
@@ -224,7 +224,7 @@
         self.close_after_response = true;
     }
 
-    /// Composes the response to its request. `is_ending`: the host accepts no more requests.
+    /// Composes the response to its request. `is_ending`: the host's shutdown makes it the last on its connection.
     pub fn compose_response(&mut self, response: Response, is_ending: bool, now: Millis) {
         self.close_after_response |=
             is_ending || self.socket.is_disconnected() || self.input.closes_connection();
--- a/crates/platform-host/src/clients/responses.rs
+++ b/crates/platform-host/src/clients/responses.rs
@@ -105,7 +105,7 @@
     /// Responds to the request of a connection.
     pub fn respond(&mut self, slot: u32, response: Response, now: Millis) {
         let shutdown = self.shutdown;
-        let is_ending = shutdown.is_some_and(|shutdown| !shutdown.admits_clients(now));
+        let is_ending = shutdown.is_some_and(|shutdown| shutdown.ends_connections(now));
         let Some(client) = self.connections.get_mut(slot) else {
             return;
         };
