Audit: a host that was told to end owes what the kill finds unanswered

Cause: the audit excused every request to a host that ended by SIGKILL, also where SIGTERM had come long before. A host that hung in its shutdown broke no rule.

Change: a process remembers when it was first sent SIGTERM; a later kill excuses only what was sent within 0.7 s of that.

Test with fabricated observations: failed before (no violation found for a request sent 0.71 s after SIGTERM), passes now.

--- a/crates/audit/src/fleet/client_rules.rs
+++ b/crates/audit/src/fleet/client_rules.rs
@@ -105,7 +105,7 @@
         })
     }
 
-    /// A host that was killed need not respond; one that exited by itself must have.
+    /// A host that was killed need not respond, unless it was told before; one that exited by itself must have.
     fn check_unanswered(
         &self,
         operation: &OperationTrace,
@@ -115,7 +115,7 @@
         let killed = self
             .trace
             .host_run_of(operation)
-            .is_some_and(|run| run.killed_by(deadline + self.slack));
+            .is_some_and(|run| run.is_excused_by_kill(operation.sent_at, deadline + self.slack));
         let awaits_host = operation.untaken.is_some_and(|untaken| !untaken.sent_again);
         if killed || operation.excused || awaits_host {
             return None;
--- a/crates/audit/src/fleet/trace.rs
+++ b/crates/audit/src/fleet/trace.rs
@@ -6,6 +6,9 @@
 use crate::trace::Micros;
 use std::collections::BTreeMap;
 
+/// What SIGKILL finds unanswered is lost by the host if it came later than this after SIGTERM.
+const SHUTDOWN_NOTICE: Micros = 700_000;
+
 /// One operation, from its client to the nodes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OperationTrace {
@@ -95,6 +98,8 @@
 pub(super) struct HostRun {
     pub host: u32,
     pub started_at: Micros,
+    /// When it was sent SIGTERM first.
+    pub terminated_at: Option<Micros>,
     pub ended: Option<(Micros, Termination)>,
 }
 
@@ -103,10 +108,14 @@
         self.started_at <= time && self.ended.is_none_or(|(at, _)| at >= time)
     }
 
-    /// Whether it was killed before a time.
-    pub fn killed_by(&self, time: Micros) -> bool {
-        self.ended
-            .is_some_and(|(at, how)| how == Termination::Killed && at <= time)
+    /// Whether it was killed before a time, and need not have responded to what was sent to it at `sent_at`. A host that
+    /// was told to end owes its responses to all that came later than a while after that.
+    pub fn is_excused_by_kill(&self, sent_at: Micros, time: Micros) -> bool {
+        let is_owed = self
+            .terminated_at
+            .is_some_and(|at| sent_at > at + SHUTDOWN_NOTICE);
+        let killed = |(at, how)| how == Termination::Killed && at <= time;
+        !is_owed && self.ended.is_some_and(killed)
     }
 }
 
@@ -226,9 +235,18 @@
             Event::HostStarted { host } => self.host_runs.push(HostRun {
                 host,
                 started_at: at,
+                terminated_at: None,
                 ended: None,
             }),
-            Event::HostStopped { host, by } if by != Termination::Requested => {
+            Event::HostStopped {
+                host,
+                by: Termination::Requested,
+            } => {
+                if let Some(run) = self.host_runs.iter_mut().rev().find(|run| run.host == host) {
+                    run.terminated_at.get_or_insert(at);
+                }
+            }
+            Event::HostStopped { host, by } => {
                 if let Some(run) = self.host_runs.iter_mut().rev().find(|run| run.host == host) {
                     run.ended = run.ended.or(Some((at, by)));
                 }
--- a/crates/audit/tests/fleet/rules.rs
+++ b/crates/audit/tests/fleet/rules.rs
@@ -104,6 +104,23 @@
     assert_eq!(violated(killed), [], "a killed host need not respond");
 }
 
+/// A request that is sent at this time to a host which was told to end at 10 ms, and is killed at 1,200 ms.
+fn sent_before_a_kill(at: u64) -> Vec<Observation> {
+    let stopped = |at, by| observed(at, Event::HostStopped { host: 0, by });
+    vec![
+        stopped(10, Termination::Requested),
+        request_sent(1, at, true),
+        stopped(1_200, Termination::Killed),
+        observed(1_201, Event::ConnectionLost { op: 1 }),
+    ]
+}
+
+#[test]
+fn a_host_that_was_told_to_end_owes_its_responses_before_the_kill() {
+    assert_eq!(violated(sent_before_a_kill(700)), []);
+    assert_eq!(violated(sent_before_a_kill(720)), [Rule::Responses]);
+}
+
 #[test]
 fn requests_without_one_timely_authentic_response_violate_the_rule_on_responses() {
     assert_eq!(
