Testbed: SIGTERM and SIGKILL as on the platform, new connections for 0.2 to 0.4 s

Trace lines at both ends show that the host never accepted these connections: they came between its last accept and the close of its listener, some 10 us, and the system reset them.

Cause: the testbed. On the platform new connections come for 0.2 to 0.4 s after SIGTERM; the listener closes 0.64 s after it at the earliest. That no client comes then is what makes the close of a listener safe; nothing else can.

Change: clients open connections to a host that was sent SIGTERM for a drawn 0.2 to 0.4 s, and use those that they have until its end. SIGKILL comes at the earliest moment that the platform allows, where it came up to an iteration (20 ms) later. A second SIGTERM does not put off the kill.

--- a/crates/testbed/src/fleet/peers.rs
+++ b/crates/testbed/src/fleet/peers.rs
@@ -79,6 +79,8 @@
     clients_active: bool,
     pending_retries: Slab<Operation>,
     host_states: Vec<HostState>,
+    /// Of each host that was sent SIGTERM: until when clients open connections to it.
+    new_connections_until: Vec<Option<Micros>>,
     paused: Vec<bool>,
     /// Idle connections of clients, by host.
     idle_connections: BTreeMap<u32, Vec<u32>>,
@@ -130,6 +132,7 @@
             clients_active: false,
             pending_retries: Slab::default(),
             host_states: vec![HostState::Stopped; scenario.hosts as usize],
+            new_connections_until: vec![None; scenario.hosts as usize],
             paused: vec![false; scenario.hosts as usize],
             idle_connections: BTreeMap::new(),
             request_hosts: BTreeMap::new(),
--- a/crates/testbed/src/fleet/peers/clients.rs
+++ b/crates/testbed/src/fleet/peers/clients.rs
@@ -1,5 +1,4 @@
 //! The clients: which requests they send to which host, and what they do with responses.
-use super::hosts::HostState;
 use super::{ConnectionRole, Event, HTTP_LIMITS, SimulatedPeers, Timer};
 use mallowseam_audit::SLACK;
 use mallowseam_audit::trace::Micros;
@@ -25,7 +24,7 @@
 
     /// Sends a request on an idle connection, or on a new one.
     pub(super) fn send_request(&mut self, operation: Operation) {
-        let Some(host) = self.choose_host(&operation) else {
+        let Some(host) = self.choose_host(&operation, Self::takes_requests) else {
             return self.on_no_host(&operation);
         };
         let idle = self.idle_connections.get_mut(&host).and_then(Vec::pop);
@@ -86,12 +85,17 @@
         self.send(index, text.as_bytes());
     }
 
-    /// A host for an operation.
-    fn choose_host(&mut self, operation: &Operation) -> Option<u32> {
-        let states = &self.host_states;
-        let is_ready = |host: u32| states[host as usize] == HostState::Ready;
+    /// One of the hosts of an operation's volume that are suitable.
+    fn choose_host(
+        &mut self,
+        operation: &Operation,
+        is_suitable: impl Fn(&Self, u32) -> bool,
+    ) -> Option<u32> {
+        let suitable: Vec<bool> = (0..self.scenario.hosts)
+            .map(|host| is_suitable(self, host))
+            .collect();
         self.client_load
-            .choose_host(operation, is_ready, &mut self.rng)
+            .choose_host(operation, |host| suitable[host as usize], &mut self.rng)
     }
 
     /// The connection of a request has ended without a response. A request that crossed the close of an idle connection
@@ -103,7 +107,7 @@
             return self.schedule_retry(&operation, None);
         }
         self.record(Event::RequestNotTaken { op: operation.id });
-        match self.choose_host(&operation) {
+        match self.choose_host(&operation, Self::takes_connections) {
             Some(host) => self.send_on_new_connection(host, operation),
             None => self.on_no_host(&operation),
         }
--- a/crates/testbed/src/fleet/peers/hosts.rs
+++ b/crates/testbed/src/fleet/peers/hosts.rs
@@ -3,13 +3,18 @@
 use mallowseam_audit::trace::Micros;
 use mallowseam_http1::ResponseReader;
 use mallowseam_scenarios::fleet::InitialList;
+use rand::RngExt;
 use std::cmp::Reverse;
+use std::ops::RangeInclusive;
 
 /// Pause between two readiness checks of a host.
 const READINESS_INTERVAL: Micros = 20_000;
 /// Timeout of a readiness check.
 const READINESS_TIMEOUT: Micros = 2_000_000;
 
+/// After SIGTERM, new connections still come for a time within these bounds, as on the users' platform.
+const NEW_CONNECTIONS_AFTER_SIGTERM: RangeInclusive<Micros> = 200_000..=400_000;
+
 /// A host as clients see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HostState {
@@ -30,9 +35,32 @@
             self.undelivered.retain(|update| update.host != host);
         }
         self.host_states[host as usize] = HostState::Starting;
+        self.new_connections_until[host as usize] = None;
         self.schedule_readiness_check(host);
     }
 
+    /// A host was sent SIGTERM: clients use the connections that they have, and soon open no more.
+    pub(crate) fn host_terminated(&mut self, host: u32) {
+        let until = self.now() + self.rng.random_range(NEW_CONNECTIONS_AFTER_SIGTERM);
+        self.new_connections_until[host as usize].get_or_insert(until);
+    }
+
+    /// Whether clients send requests to a host: it is ready, and they have a connection to it or may open one.
+    pub(super) fn takes_requests(&self, host: u32) -> bool {
+        let has_idle = || {
+            self.idle_connections
+                .get(&host)
+                .is_some_and(|idle| !idle.is_empty())
+        };
+        self.takes_connections(host) || (self.is_ready(host) && has_idle())
+    }
+
+    /// Whether clients open connections to a host.
+    pub(super) fn takes_connections(&self, host: u32) -> bool {
+        let until = self.new_connections_until[host as usize];
+        self.is_ready(host) && until.is_none_or(|until| self.now() < until)
+    }
+
     /// A host's process ended: clients use it no more.
     pub(crate) fn host_stopped(&mut self, host: u32) {
         self.host_states[host as usize] = HostState::Stopped;
--- a/crates/testbed/src/fleet/testbed.rs
+++ b/crates/testbed/src/fleet/testbed.rs
@@ -149,7 +149,9 @@
     pub fn terminate(&mut self, host: u32) {
         if self.processes.running(host) {
             self.processes.signal(host, Signal::SIGTERM);
-            self.terminated_at[host as usize] = Some(self.peers.now());
+            // The first signal counts.
+            self.terminated_at[host as usize].get_or_insert(self.peers.now());
+            self.peers.host_terminated(host);
             self.record_stop(host, Termination::Requested);
         }
     }
@@ -182,12 +184,12 @@
     pub fn run_once(&mut self) {
         self.query_memberships();
         let before = self.peers.now();
-        self.peers.run_once(ITERATION);
+        self.peers.run_once(self.time_to_next_kill(before));
         let elapsed = self.peers.now() - before;
         self.max_lag = self
             .max_lag
             .max(elapsed.saturating_sub(ITERATION.as_micros() as Micros));
-        self.kill_overdue(before);
+        self.kill_overdue();
         for (host, code) in self.processes.reap_exited() {
             let was_requested = self.terminated_at[host as usize].take().is_some();
             if !was_requested || code != 0 {
@@ -201,16 +203,26 @@
         }
     }
 
-    /// Kills the hosts that have not ended in time after SIGTERM.
-    fn kill_overdue(&mut self, now: Micros) {
+    /// When the platform kills a host that was sent SIGTERM, at the earliest.
+    fn kill_time(&self, host: u32) -> Option<Micros> {
         let load = &self.scenario.load;
-        let longest = load
-            .write_timeout
-            .max(load.read_timeout)
-            .min(MAX_LONGEST_DEADLINE);
+        let longest = load.write_timeout.max(load.read_timeout);
+        let terminated_at = self.terminated_at[host as usize]?;
+        Some(terminated_at + longest.min(MAX_LONGEST_DEADLINE) + KILL_DELAY)
+    }
+
+    /// The time until a host is killed, if that comes within an iteration.
+    fn time_to_next_kill(&self, now: Micros) -> Duration {
+        let kills = (0..self.scenario.hosts).filter_map(|host| self.kill_time(host));
+        let next = kills.map(|at| Duration::from_micros(at.saturating_sub(now)));
+        next.fold(ITERATION, Duration::min)
+    }
+
+    /// Kills the hosts that have not ended in time after SIGTERM.
+    fn kill_overdue(&mut self) {
+        let now = self.peers.now();
         for host in 0..self.scenario.hosts {
-            if self.terminated_at[host as usize].is_some_and(|at| now >= at + longest + KILL_DELAY)
-            {
+            if self.kill_time(host).is_some_and(|at| now >= at) {
                 self.terminated_at[host as usize] = None;
                 self.kill(host);
             }
