Testbed: soak of restarts, short scenarios that a seed draws

Need: tests forced the moments of a shutdown that somebody had thought of; what failed now and then failed at others.

Change: mallowseam-testbed soak draws scenarios of 14 to 22 s (restart_schedule), plays several at a time, and judges them by the audit as it is, by crashes, limits and readiness. A finding comes with the history of its request and the end of the host's log.

The pin of the command line's form keeps its recorded value: the entry of the new subcommand is required and taken out before.

Not drawn yet: crowds of idle clients, requests in pieces, clients that leave, host names twice.

--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`rehearsal`]: scripts for hosts behind iSCSI. [`fleet`]: scripts for many hosts on the users' platform, and what
 //!   `mallowseam-audit` needs to know of them.
 //! - [`builtin`]: scripts that come with the testbed. [`fault_schedule`]: scripts of fleets drawn by a seed.
+//!   [`restart_schedule`]: scenarios of restarts drawn by a seed.
 #![warn(missing_docs)]
 
 mod arguments;
@@ -11,3 +12,4 @@
 pub mod fault_schedule;
 pub mod fleet;
 pub mod rehearsal;
+pub mod restart_schedule;
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -5,6 +5,7 @@
 mod rehearsal;
 mod rehearsal_report;
 mod search;
+mod soak;
 
 use clap::{Parser, Subcommand};
 use mallowseam_testbed::process::Program;
@@ -57,6 +58,8 @@
     },
     /// Play a scenario script through real hosts and audit it by what passed on the sockets
     Rehearse(RehearseOptions),
+    /// Play short scenarios in which hosts are restarted under faults, each drawn by its seed, and audit them
+    Soak(soak::SoakOptions),
     /// Play a fleet in simulated time: the same schedulers, thousands of them
     Model {
         #[command(subcommand)]
@@ -179,6 +182,7 @@
     let result = match CommandLine::parse().command {
         Command::Demo { seed } => rehearsal::demo(seed),
         Command::Rehearse(options) => rehearse(&options),
+        Command::Soak(options) => soak::play(options),
         Command::Model {
             model: Model::ColdStart(options),
         } => models::cold_start(&options),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -4,11 +4,14 @@
 //!
 //! - [`peers`]: the sockets of all peers, on one event loop. [`processes`]: the host processes.
 //! - [`testbed`]: plays a scenario of `mallowseam-scenarios`. [`outcome`]: what a run brought, and its report.
+//! - [`soak`]: many short scenarios, each drawn by its seed; `history` tells what is known of a finding.
 
 pub mod addresses;
 pub mod error;
+mod history;
 pub mod host_config;
 pub mod outcome;
 pub mod peers;
 pub mod processes;
+pub mod soak;
 pub mod testbed;
--- a/crates/testbed/src/fleet/error.rs
+++ b/crates/testbed/src/fleet/error.rs
@@ -17,6 +17,9 @@
         /// Why it could not be.
         source: io::Error,
     },
+    /// The directory of a run could not be made.
+    #[error("directory of a run: {0}")]
+    Directory(#[source] io::Error),
     /// Every range of loopback addresses is in use by another run.
     #[error("no free loopback addresses")]
     NoFreeAddresses,
--- a/crates/testbed/tests/fleet/main.rs
+++ b/crates/testbed/tests/fleet/main.rs
@@ -4,4 +4,5 @@
 mod discovery_outages;
 mod membership;
 mod readiness;
+mod soak;
 mod support;
--- a/crates/testbed/tests/pinned/command_line.rs
+++ b/crates/testbed/tests/pinned/command_line.rs
@@ -25,10 +25,21 @@
     out
 }
 
+/// The subcommand `soak` in the overview.
+const SOAK_ENTRY: &str = "soak = \n";
+
 #[test]
 fn form_of_the_command_line() {
+    // Recorded before there was this subcommand.
+    let overview = help_form(&[]);
+    assert!(overview.contains(SOAK_ENTRY));
+    pinned(
+        "help",
+        &overview.replace(SOAK_ENTRY, ""),
+        0xe76b_af9c_b3cf_ff99,
+    );
     let lines: [(&[&str], u64); 11] = [
-        (&[], 0xe76b_af9c_b3cf_ff99),
+        (&["soak"], 0x90c0_0e8d_a8ed_d922),
         (&["demo"], 0x97a2_b2de_2fb1_b5bd),
         (&["rehearse"], 0xcefe_5b05_8b7e_b664),
         (&["model"], 0x7e83_3246_d011_8b9e),
