Fleet: the highest incarnation or generation in a datagram no longer overflows

What operators would see: one corrupt or forged datagram with this host's own name and incarnation 4,294,967,295 made its next record overflow: a panic in a debug build, and in a release build incarnation 0, which outranks nothing, so that the fleet went by the claim. The highest generation did the same to a start.

Cause: LocalMember added 1 to numbers that come from messages.

Change: where there is no higher incarnation a new generation begins. A record with a generation above half of the range, which no clock gives, is refused with DecodeError::ImpossibleGeneration and counted as malformed: so there is always a generation above one that was taken.

Test: claims_with_the_highest_numbers_are_outranked_or_dropped feeds 192 claims at the ends of both ranges; before the change it ended with "attempt to add with overflow" in local_member.rs.

Found by it and not mended: a claim that this very generation has left cannot be refuted by an incarnation.

--- a/crates/fleet/src/counters.rs
+++ b/crates/fleet/src/counters.rs
@@ -39,7 +39,7 @@
 
     pub(crate) fn count_undecodable(&mut self, error: DecodeError) {
         match error {
-            DecodeError::Malformed => self.malformed += 1,
+            DecodeError::Malformed | DecodeError::ImpossibleGeneration => self.malformed += 1,
             DecodeError::OtherFleet => self.other_fleet += 1,
             DecodeError::UnsupportedVersion => self.unsupported_version += 1,
         }
--- a/crates/fleet/src/local_member.rs
+++ b/crates/fleet/src/local_member.rs
@@ -54,19 +54,31 @@
     /// Issues a record with another lifecycle state.
     pub fn set_lifecycle(&mut self, lifecycle: Lifecycle) {
         self.record.lifecycle = lifecycle;
-        self.record.incarnation += 1;
+        self.advance_past(self.record.incarnation);
     }
 
     /// Issues a record with other versions.
     pub fn set_versions(&mut self, versions: ActiveVersions) {
         self.record.versions = versions;
-        self.record.incarnation += 1;
+        self.advance_past(self.record.incarnation);
     }
 
     /// Issues a record of a generation above another one.
     pub fn raise_generation(&mut self, past: u64) {
-        self.record.generation = self.record.generation.max(past + 1);
-        self.record.incarnation += 1;
+        let next = past.saturating_add(1);
+        self.record.generation = self.record.generation.max(next);
+        self.advance_past(self.record.incarnation);
+    }
+
+    /// The next record's number is above this one and all earlier ones. Where there is none above, a generation begins.
+    fn advance_past(&mut self, incarnation: u32) {
+        let highest = self.record.incarnation.max(incarnation);
+        if let Some(next) = highest.checked_add(1) {
+            self.record.incarnation = next;
+        } else {
+            self.record.generation = self.record.generation.saturating_add(1);
+            self.record.incarnation = 0;
+        }
     }
 
     /// Issues a record that refutes an update about this generation, if the update suspects this host or holds a record
@@ -78,7 +90,7 @@
         let is_suspected =
             update.suspected_by.is_some() && claimed.incarnation == self.record.incarnation;
         if is_ahead || is_suspected {
-            self.record.incarnation = self.record.incarnation.max(claimed.incarnation) + 1;
+            self.advance_past(claimed.incarnation);
         }
         is_ahead || is_suspected
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -10,6 +10,10 @@
 /// Longest name of a zone, in bytes.
 pub const MAX_ZONE_BYTES: usize = 24;
 
+/// Highest generation that a record may have. Clocks give far lower ones, so that a host can always outrank another
+/// process under its name.
+pub const MAX_GENERATION: u64 = u64::MAX / 2;
+
 /// Name of a host or of a fleet.
 pub type Name = heapless::String<MAX_NAME_BYTES>;
 /// Name of a zone: a part of the fleet that may fail or be partitioned at once (a failure domain). Empty: none.
--- a/crates/fleet/src/wire/codec.rs
+++ b/crates/fleet/src/wire/codec.rs
@@ -1,6 +1,6 @@
 //! Encoding and decoding of datagrams.
 use super::{FORMAT_VERSION, MAX_DATAGRAM_BYTES, Message};
-use crate::record::member_id;
+use crate::record::{MAX_GENERATION, member_id};
 
 /// Bytes before the message: the version of the format, and the hash of the fleet's name.
 const HEAD_BYTES: usize = 9;
@@ -19,6 +19,9 @@
     /// The datagram is truncated or corrupt.
     #[error("a truncated or corrupt datagram")]
     Malformed,
+    /// A record has a generation above [`MAX_GENERATION`].
+    #[error("a record of an impossible generation")]
+    ImpossibleGeneration,
 }
 
 /// A datagram whose head was read.
@@ -47,10 +50,23 @@
         if padding.iter().any(|byte| *byte != 0) {
             return Err(DecodeError::Malformed);
         }
+        if has_impossible_generation(&message) {
+            return Err(DecodeError::ImpossibleGeneration);
+        }
         Ok(message)
     }
 }
 
+/// Whether a member's message has a record that its member could not outrank.
+fn has_impossible_generation(message: &Message) -> bool {
+    let Message::Gossip(gossip) = message else {
+        return false;
+    };
+    let updates = gossip.updates.iter().map(|update| &update.record);
+    let mut records = updates.chain([&gossip.sender]);
+    records.any(|record| record.generation > MAX_GENERATION)
+}
+
 fn hash_of(fleet: &str) -> [u8; 8] {
     member_id(fleet).to_le_bytes()
 }
--- a/crates/fleet/tests/datagrams.rs
+++ b/crates/fleet/tests/datagrams.rs
@@ -222,3 +222,85 @@
     );
     assert!(sent.0.is_empty());
 }
+
+/// Claims about the member under test at the ends of what a datagram can hold, and next to its own record.
+fn extreme_claims(own: &MemberRecord) -> Vec<GossipUpdate> {
+    let generations = [
+        0,
+        own.generation,
+        own.generation + 1,
+        u64::MAX / 2,
+        u64::MAX - 1,
+        u64::MAX,
+    ];
+    let incarnations = [0, 1, u32::MAX - 1, u32::MAX];
+    let lifecycles = [
+        Lifecycle::Joining,
+        Lifecycle::Alive,
+        Lifecycle::Leaving,
+        Lifecycle::Left,
+    ];
+    let mut claims = Vec::new();
+    for generation in generations {
+        for incarnation in incarnations {
+            for lifecycle in lifecycles {
+                claims.extend([None, Some(9)].map(|suspected_by| GossipUpdate {
+                    record: record(0, generation, incarnation, lifecycle),
+                    suspected_by,
+                }));
+            }
+        }
+    }
+    claims
+}
+
+/// A member that has received a claim about itself and had time to ping whoever made it, in vain.
+fn member_after(claim: &GossipUpdate) -> Membership {
+    let (mut member, mut sent) = (new_member(), SentDatagrams::default());
+    let sender = record(3, 1, 1, Lifecycle::Alive);
+    let mut message = bare_message(sender, GossipBody::UpdatesOnly);
+    message.updates = GossipUpdates::from_iter([claim.clone()]);
+    let datagram = encode(message).expect("it fits");
+    member.receive(address(3), &datagram, 1, &mut sent);
+    (1..100).for_each(|n| member.tick(n * 100, &mut sent));
+    member
+}
+
+fn assert_outranked(claim: &GossipUpdate, member: &Membership) {
+    let (own, claimed) = (member.own_record().precedence(), claim.record.precedence());
+    assert!(own >= claimed, "{claim:?}: {own:?}");
+    assert!(
+        claim.suspected_by.is_none() || own > claimed,
+        "{claim:?}: {own:?}"
+    );
+}
+
+#[test]
+fn claims_with_the_highest_numbers_are_outranked_or_dropped() {
+    let own_generation = new_member().own_record().generation;
+    for claim in extreme_claims(new_member().own_record()) {
+        let member = member_after(&claim);
+        let is_dropped = member.counters().malformed == 1;
+        assert_eq!(
+            is_dropped,
+            claim.record.generation > u64::MAX / 2,
+            "{claim:?}"
+        );
+        // Its claim to have left has a test of its own.
+        let has_left =
+            claim.record.lifecycle == Lifecycle::Left && claim.record.generation == own_generation;
+        if !is_dropped && !has_left {
+            assert_outranked(&claim, &member);
+        }
+    }
+}
+
+#[test]
+fn a_claim_that_this_very_process_has_left_is_outranked() {
+    let generation = new_member().own_record().generation;
+    let claim = GossipUpdate {
+        record: record(0, generation, 1, Lifecycle::Left),
+        suspected_by: None,
+    };
+    assert_outranked(&claim, &member_after(&claim));
+}
