Host: closed client connections are counted by cause, and are lines at debug level

Need: an operator who hears "my connection ended without an answer" could not find out why from the host: a close left no trace.

Change: host status has a field closed, a counter for each cause.

Test: closed_connections_are_counted_by_their_cause.

--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -49,9 +49,8 @@
     /// The environment variable GW_CONFIG names the configuration file. SIGHUP reloads it; SIGTERM starts a
     /// graceful shutdown, which ends once all admitted requests have been answered.
     Host {
-        /// Write log lines as JSON objects
-        #[arg(long)]
-        json: bool,
+        #[command(flatten)]
+        log: LogOptions,
         /// Milliseconds that the discovery service needs to answer one poll, 0 to 10000 (30 if not given):
         /// all hosts together spread their polls so that it keeps up
         #[arg(long, value_name = "MS", value_parser = clap::value_parser!(u16).range(..=10_000))]
@@ -175,7 +174,7 @@
 fn execute(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Run { file, log } => process::run_host(&file, &log),
-        Command::Host { json, list_turn } => process::run_platform_host(json, list_turn),
+        Command::Host { log, list_turn } => process::run_platform_host(&log, list_turn),
         Command::Catalog { file, die_at, log } => process::run_catalog(&file, die_at, &log),
         Command::Control { file, log } => process::run_plan_service(&file, &log),
         Command::Plan { command } => plan::execute(command).map(print),
--- a/crates/gateway/src/cli/process.rs
+++ b/crates/gateway/src/cli/process.rs
@@ -54,12 +54,11 @@
 }
 
 /// `mallowseam host`
-pub(super) fn run_platform_host(json: bool, list_turn: Option<u16>) -> Result<(), CommandError> {
-    LogOptions {
-        level: Level::Info,
-        json,
-    }
-    .start();
+pub(super) fn run_platform_host(
+    log: &LogOptions,
+    list_turn: Option<u16>,
+) -> Result<(), CommandError> {
+    log.start();
     let path = std::env::var_os(PLATFORM_CONFIGURATION).map(PathBuf::from);
     let path = path.ok_or(CommandError::NoConfiguration)?;
     Ok(mallowseam_platform_host::run(
--- a/crates/platform-host/src/clients.rs
+++ b/crates/platform-host/src/clients.rs
@@ -3,6 +3,8 @@
 //! - `connection`: one connection.
 //! - `socket`, `request_buffer`: its socket, and what was read from it.
 //! - `responses`: responses, and how they are written.
+//! - `close_cause`: why connections were closed, counted.
+mod close_cause;
 mod connection;
 mod flush_outcome;
 mod request_buffer;
@@ -10,6 +12,7 @@
 mod socket;
 
 use crate::tokens;
+use close_cause::{CloseCause, CloseCounters};
 use connection::{Client, ReadError};
 use mallowseam_connection_policy::Millis;
 use mallowseam_connection_policy::client_connection::{self, Phase, TimeoutAction};
@@ -21,6 +24,7 @@
 use mallowseam_sockets::slab::Slab;
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
+use responses::ErrorResponse;
 use std::collections::VecDeque;
 
 pub use responses::{CONFLICT, OK, Response};
@@ -73,6 +77,7 @@
     /// Slots of connections that may have something to read.
     read_queue: VecDeque<u32>,
     counters: ClientCounters,
+    closed: CloseCounters,
 }
 
 impl ClientConnections {
@@ -86,6 +91,7 @@
             shutdown: None,
             read_queue: VecDeque::new(),
             counters: ClientCounters::default(),
+            closed: CloseCounters::default(),
         }
     }
 
@@ -104,6 +110,11 @@
         self.counters
     }
 
+    /// Connections closed since the start, by cause.
+    pub fn closed(&self) -> CloseCounters {
+        self.closed
+    }
+
     /// Number of connections in a state, for the status log.
     pub fn count_in_state(&self, state: Phase) -> usize {
         self.connections
@@ -176,15 +187,24 @@
         {
             self.enqueue(slot);
         } else {
-            self.close(slot);
+            self.close(slot, CloseCause::Evicted);
         }
         true
     }
 
-    fn close(&mut self, slot: u32) {
-        if let Some(client) = self.connections.remove(slot) {
-            self.memory.release(client.bytes());
-            client.close(&self.registry);
+    /// Closes a connection. One that has had its last response ends for the cause of that.
+    fn close(&mut self, slot: u32, cause: CloseCause) {
+        let Some(client) = self.connections.remove(slot) else {
+            return;
+        };
+        let cause = client.end_cause().unwrap_or(cause);
+        self.closed.count(cause);
+        self.memory.release(client.bytes());
+        // What is looked up for the log only is looked up before the close, and written after it.
+        let at_close = tracing::enabled!(tracing::Level::DEBUG).then(|| client.describe());
+        client.close(&self.registry);
+        if let Some(at_close) = at_close {
+            tracing::debug!(slot, ?cause, ?at_close, "client connection closed");
         }
     }
 
@@ -226,7 +246,7 @@
         client.dequeue();
         if client.is_lingering() {
             if !client.drain_input(scratch) {
-                self.close(slot);
+                self.close(slot, CloseCause::Finished);
             }
             return RequestStatus::Incomplete;
         }
@@ -238,14 +258,24 @@
         self.memory.resize(before, client.bytes());
         match read {
             Ok(RequestStatus::Complete) => return RequestStatus::Complete,
-            Err(ReadError::Closed) => self.close(slot),
+            Err(ReadError::Closed) => self.close(slot, CloseCause::Disconnected),
             Err(ReadError::Invalid(fault)) => {
                 self.counters.malformed += 1;
-                self.respond_with_error(slot, responses::fault_status(fault), fault.message(), now);
+                let error = ErrorResponse {
+                    status: responses::fault_status(fault),
+                    text: fault.message(),
+                    cause: CloseCause::Malformed,
+                };
+                self.respond_with_error(slot, &error, now);
             }
             // All clients share a memory limit: the request that exceeds it is shed.
             Ok(RequestStatus::Incomplete) if self.memory.is_exceeded() => {
-                self.respond_with_error(slot, response::SHED_STATUS, "no room", now);
+                let error = ErrorResponse {
+                    status: response::SHED_STATUS,
+                    text: "no room",
+                    cause: CloseCause::Memory,
+                };
+                self.respond_with_error(slot, &error, now);
             }
             Ok(RequestStatus::Incomplete) => {}
         }
@@ -292,14 +322,21 @@
                 // The socket is read first: it may contain a complete request.
                 _ if client.is_queued() => {}
                 _ if client.has_unread_request() => self.enqueue(slot),
-                TimeoutAction::Close => self.close(slot),
+                TimeoutAction::Close => {
+                    let cause = client.timeout_cause(now, self.shutdown);
+                    self.close(slot, cause);
+                }
                 TimeoutAction::RejectLateRequest => self.reject_late_request(slot, now),
             }
         }
     }
 
     fn reject_late_request(&mut self, slot: u32, now: Millis) {
-        let status = responses::REQUEST_TIMEOUT;
-        self.respond_with_error(slot, status, "the request is late", now);
+        let error = ErrorResponse {
+            status: responses::REQUEST_TIMEOUT,
+            text: "the request is late",
+            cause: CloseCause::LateRequest,
+        };
+        self.respond_with_error(slot, &error, now);
     }
 }
--- a/crates/platform-host/src/clients/connection.rs
+++ b/crates/platform-host/src/clients/connection.rs
@@ -1,4 +1,5 @@
 //! One connection of a client.
+use super::close_cause::CloseCause;
 use super::flush_outcome::FlushOutcome;
 use super::request_buffer::RequestBuffer;
 use super::responses::Response;
@@ -28,10 +29,26 @@
     io: Option<BioId>,
     /// The response in `output` is the last.
     close_after_response: bool,
+    /// Why the connection ends, once its last response is composed.
+    end_cause: Option<CloseCause>,
     /// The connection is in the read queue.
     is_queued: bool,
 }
 
+/// A connection as it is closed, for the log.
+#[derive(Debug)]
+#[expect(dead_code, reason = "read by the derived Debug alone")]
+pub struct AtClose {
+    phase: Phase,
+    /// Bytes that were read and belong to no complete request.
+    unparsed: usize,
+    /// Bytes that wait in the socket, up to the length of the buffer that looks at them.
+    unread: usize,
+}
+
+/// Length of the buffer that looks at unread bytes.
+const UNREAD_LOOK_BYTES: usize = 1_024;
+
 /// Why reading has stopped.
 pub enum ReadError {
     /// The message cannot be parsed.
@@ -50,6 +67,7 @@
             output: OutgoingMessage::default(),
             io: None,
             close_after_response: false,
+            end_cause: None,
             is_queued: false,
         }
     }
@@ -219,6 +237,37 @@
         self.input.discard();
     }
 
+    /// Why it ends, once its last response is composed.
+    pub fn end_cause(&self) -> Option<CloseCause> {
+        self.end_cause
+    }
+
+    /// Its next response is the last, for this cause.
+    pub fn set_end_cause(&mut self, cause: CloseCause) {
+        self.end_cause = Some(cause);
+    }
+
+    /// Why a timeout closes it.
+    pub fn timeout_cause(&self, now: Millis, shutdown: Option<GracefulShutdown>) -> CloseCause {
+        let is_ending = shutdown.is_some_and(|shutdown| !shutdown.admits_clients(now));
+        match self.state.phase() {
+            Phase::SendingResponse => CloseCause::UnreadResponse,
+            Phase::Lingering => CloseCause::Finished,
+            _ if is_ending => CloseCause::Shutdown,
+            _ => CloseCause::Idle,
+        }
+    }
+
+    /// What the log tells of it at its close.
+    pub fn describe(&self) -> AtClose {
+        let unread = self.socket.peek(&mut [0; UNREAD_LOOK_BYTES]);
+        AtClose {
+            phase: self.state.phase(),
+            unparsed: self.input.unparsed(),
+            unread: unread.unwrap_or(0),
+        }
+    }
+
     /// The next response is the last.
     pub fn close_after_response(&mut self) {
         self.close_after_response = true;
@@ -228,6 +277,9 @@
     pub fn compose_response(&mut self, response: Response, is_ending: bool, now: Millis) {
         self.close_after_response |=
             is_ending || self.socket.is_disconnected() || self.input.closes_connection();
+        if self.close_after_response && self.end_cause.is_none() {
+            self.end_cause = Some(end_cause(is_ending, self.socket.is_disconnected()));
+        }
         response.write(&mut self.output, self.close_after_response);
         self.input.finish_request();
         self.io = None;
@@ -263,3 +315,12 @@
         let _ = registry.deregister(self.socket.stream_mut());
     }
 }
+
+/// Why a connection ends with a response that is no error of its own.
+fn end_cause(is_ending: bool, is_disconnected: bool) -> CloseCause {
+    match (is_disconnected, is_ending) {
+        (true, _) => CloseCause::Disconnected,
+        (false, true) => CloseCause::Shutdown,
+        (false, false) => CloseCause::Finished,
+    }
+}
--- a/crates/platform-host/src/clients/request_buffer.rs
+++ b/crates/platform-host/src/clients/request_buffer.rs
@@ -25,6 +25,12 @@
         self.bytes.is_empty()
     }
 
+    /// Bytes that belong to no complete request.
+    pub fn unparsed(&self) -> usize {
+        let complete = self.complete.map_or(0, |request| request.end);
+        self.bytes.len() - complete
+    }
+
     /// Bytes that it takes besides those that it holds.
     pub fn room(&self) -> usize {
         REQUEST_LIMITS
--- a/crates/platform-host/src/clients/responses.rs
+++ b/crates/platform-host/src/clients/responses.rs
@@ -1,5 +1,6 @@
 //! Writes responses to clients.
 use super::ClientConnections;
+use super::close_cause::CloseCause;
 use super::flush_outcome::FlushOutcome;
 use mallowseam_connection_policy::Millis;
 use mallowseam_http1::ParseError;
@@ -90,6 +91,16 @@
     }
 }
 
+/// The last response on a connection whose message is not accepted.
+pub struct ErrorResponse {
+    /// HTTP status.
+    pub status: u16,
+    /// The body.
+    pub text: &'static str,
+    /// Why the connection ends.
+    pub cause: CloseCause,
+}
+
 /// The status for a message that cannot be parsed.
 pub fn fault_status(fault: ParseError) -> u16 {
     match fault {
@@ -124,13 +135,15 @@
     }
 
     /// Responds to a message that cannot be parsed or is not accepted, and closes the connection.
-    pub(super) fn respond_with_error(&mut self, slot: u32, status: u16, text: &str, now: Millis) {
+    pub(super) fn respond_with_error(&mut self, slot: u32, error: &ErrorResponse, now: Millis) {
         if let Some(client) = self.connections.get_mut(slot) {
             let before = client.bytes();
             client.discard_input();
+            client.set_end_cause(error.cause);
             self.memory.resize(before, client.bytes());
         }
-        self.respond_and_close(slot, Response::new(status, text.as_bytes()), now);
+        let response = Response::new(error.status, error.text.as_bytes());
+        self.respond_and_close(slot, response, now);
     }
 
     /// Writes what waits to be written. After the last byte of a response the connection is read again.
@@ -144,7 +157,7 @@
         match outcome {
             FlushOutcome::Pending => {}
             FlushOutcome::ResponseWritten => self.enqueue(slot),
-            FlushOutcome::Closed => self.close(slot),
+            FlushOutcome::Closed => self.close(slot, CloseCause::Disconnected),
         }
     }
 }
--- a/crates/platform-host/src/clients/tests.rs
+++ b/crates/platform-host/src/clients/tests.rs
@@ -108,3 +108,33 @@
     assert_eq!((&third).read(&mut [0; 16]).expect("closed in order"), 0);
     assert_eq!(fixture.read_queued(5_000), [0, 1]);
 }
+
+#[test]
+fn closed_connections_are_counted_by_their_cause() {
+    let mut fixture = Fixture::with_max_connections(8);
+    // One that stays silent, one that was served, one that sends no HTTP, and one that leaves.
+    let peers: Vec<Peer> = (0..4).map(|_| fixture.connect(0)).collect();
+    fixture.make_idle(&peers[1], 1);
+    (&peers[2]).write_all(b"nonsense\r\n\r\n").expect("open");
+    drop(peers.into_iter().nth(3));
+    let mut buffer = [0; 4_096];
+    let began = Instant::now();
+    while fixture.clients.closed().disconnected == 0 || fixture.clients.counters.malformed == 0 {
+        assert!(began.elapsed() < Duration::from_secs(5), "not received");
+        for slot in [2, 3] {
+            fixture.clients.on_event(slot, SocketEvent::Readable, 0);
+            fixture.clients.read(slot, &mut buffer, 0);
+        }
+    }
+    fixture
+        .clients
+        .begin_shutdown(GracefulShutdown::by_operator(0));
+    fixture.clients.check_timeouts(1_000);
+    let expected = CloseCounters {
+        disconnected: 1,
+        malformed: 1,
+        shutdown: 2,
+        ..CloseCounters::default()
+    };
+    assert_eq!(fixture.clients.closed(), expected);
+}
--- a/crates/platform-host/src/event_loop/status_log.rs
+++ b/crates/platform-host/src/event_loop/status_log.rs
@@ -47,6 +47,7 @@
         idle = clients.count_in_state(Phase::Idle),
         bytes = clients.bytes() + nodes.bytes(),
         connections = ?clients.counters(),
+        closed = ?clients.closed(),
         ios = ?dispatcher.counters(),
         in_flight = dispatcher.in_flight(),
         node_connections = nodes.len(),
--- a/crates/platform-host/tests/log.rs
+++ b/crates/platform-host/tests/log.rs
@@ -87,6 +87,7 @@
         "idle",
         "bytes",
         "connections",
+        "closed",
         "ios",
         "in_flight",
         "node_connections",
@@ -97,6 +98,9 @@
     assert_eq!(line.field("keep_alive_ms"), "15000");
     let clients = "ClientCounters { accepted: 2, rejected: 0, malformed: 0, invalid: 1 }";
     assert_eq!(line.field("connections"), clients);
+    let closed = "CloseCounters { disconnected: 2, idle: 0, shutdown: 0, evicted: 0, finished: 0, \
+                  unread_response: 0, late_request: 0, malformed: 0, memory: 0 }";
+    assert_eq!(line.field("closed"), closed);
     let ios = "IoCounters { admitted: 1, completed: 1, shed: 0, failed: 0, disconnected: 0, \
                unsent_attempts: 0, readiness_checks: 0 }";
     assert_eq!(line.field("ios"), ios);
--- a/crates/testbed/src/fleet/soak.rs
+++ b/crates/testbed/src/fleet/soak.rs
@@ -92,7 +92,8 @@
             None => temporary.path().to_owned(),
         };
         std::fs::create_dir_all(&dir).map_err(TestbedError::Directory)?;
-        let outcome = testbed::run(&scenario, seed, &self.program, &dir, &mut |_, _| {})?;
+        let program = self.program.clone().with_arguments(&["--log", "debug"]);
+        let outcome = testbed::run(&scenario, seed, &program, &dir, &mut |_, _| {})?;
         Ok(report(seed, &scenario, &outcome, &dir))
     }
 }
