--- a/crates/testbed/tests/fleet/closed_connections.rs
+++ b/crates/testbed/tests/fleet/closed_connections.rs
@@ -8,6 +8,8 @@
 use mallowseam_testbed::fleet::testbed::Testbed;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 const READY: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const SHED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -38,8 +40,8 @@
 }
 
 /// Answers the readiness check, refuses `refused` requests on the first connection of a client, and ends that connection
-/// at the next request. Then refuses everything.
-fn play_host(listener: &TcpListener, refused: usize, end: End) {
+/// at the next request. Then refuses everything, until it is stopped.
+fn play_host(listener: &TcpListener, refused: usize, end: End, stopped: &AtomicBool) {
     let accept = || listener.accept().expect("a client").0;
     let mut readiness = accept();
     read_request(&mut readiness).expect("a readiness check");
@@ -55,7 +57,11 @@
         End::Read => drop(read_request(&mut first)),
     }
     drop(first);
-    while let Ok((mut stream, _)) = listener.accept() {
+    loop {
+        let mut stream = accept();
+        if stopped.load(Ordering::Relaxed) {
+            return;
+        }
         std::thread::spawn(move || refuse_requests(&mut stream));
     }
 }
@@ -76,8 +82,13 @@
     ]);
     let dir = tempfile::tempdir().expect("a directory");
     let mut testbed = Testbed::open(&scenario, 1, &idle_program(), dir.path()).expect("a testbed");
-    let listener = TcpListener::bind(testbed.peers.addresses.host(0)).expect("its address");
-    std::thread::spawn(move || play_host(&listener, refused, end));
+    let address = testbed.peers.addresses.host(0);
+    let listener = TcpListener::bind(address).expect("its address");
+    let stopped = Arc::new(AtomicBool::new(false));
+    let host = std::thread::spawn({
+        let stopped = stopped.clone();
+        move || play_host(&listener, refused, end, &stopped)
+    });
     testbed.start(0).expect("a process");
     testbed.peers.set_clients_active(true);
     wait_for(&mut testbed, "a connection has ended", |testbed| {
@@ -93,6 +104,11 @@
             later.iter().filter(is_response).count() >= 3
         })
     });
+    // Its address is free again before another run may claim it.
+    testbed.peers.set_clients_active(false);
+    stopped.store(true, Ordering::Relaxed);
+    drop(TcpStream::connect(address).expect("it listens"));
+    host.join().expect("no panic");
     testbed.finish()
 }
 
