--- a/crates/testbed/tests/fleet/soak.rs
+++ b/crates/testbed/tests/fleet/soak.rs
@@ -10,9 +10,10 @@
 const FORMER_FINDINGS: [u64; 4] = [1_018, 1_043, 1_047, 1_055];
 const OTHER_SEEDS: Range<u64> = 1..7;
 
-#[test]
-fn restarts_under_faults_cost_callers_no_more_than_a_retry() {
-    let seeds: Vec<u64> = FORMER_FINDINGS.into_iter().chain(OTHER_SEEDS).collect();
+/// A host is cut off from all nodes for 2 s while the others restart: its connections fill up with requests in flight.
+const HOST_CUT_OFF: u64 = 123_456;
+
+fn assert_no_findings(seeds: Vec<u64>) {
     let count = seeds.len();
     let soak = Soak {
         seeds,
@@ -31,3 +32,13 @@
         assert!(report.host_starts > 3, "{}", report.host_starts);
     }
 }
+
+#[test]
+fn restarts_under_faults_cost_callers_no_more_than_a_retry() {
+    assert_no_findings(FORMER_FINDINGS.into_iter().chain(OTHER_SEEDS).collect());
+}
+
+#[test]
+fn a_host_whose_connections_are_all_in_flight_answers_new_ones() {
+    assert_no_findings(vec![HOST_CUT_OFF]);
+}
