--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -225,5 +225,6 @@
         left = asyncio.all_tasks(loop)
         for task in left:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        if left:
+            loop.run_until_complete(asyncio.wait(left, timeout=2))
         loop.close()
