--- a/review/stand-ins-2/src/bin/two_changes.rs
+++ b/review/stand-ins-2/src/bin/two_changes.rs
@@ -124,28 +124,13 @@
         "counters",
         "--wait",
     ];
-    let (in_force_at, version): (Micros, String) = std::thread::scope(|scope| {
-        let first = scope.spawn(|| {
-            let answer = site.operator(&["plan", "set"], "conf0", &lower);
-            record.line(&format!("board   limit {LIMIT}/s: {}", answer.1));
-            (site.trace.now(), answer)
-        });
-        if !trouble() {
-            let (at, (succeeded, text)) = first.join().expect("no panic");
-            if !succeeded {
-                not_run(&text);
-            }
-            return (at, text);
-        }
-        std::thread::sleep(Duration::from_millis(40));
-        let (succeeded, text) = site.operator(&["plan", "set"], "conf0", &other);
-        let at = site.trace.now();
-        record.line(&format!("desk    reserve 25/s: {text}"));
-        if !succeeded || !text.contains("version 6 in force at all 2 hosts") {
-            not_run(&format!("the second change: {text}"));
-        }
-        (at, text)
-    });
+    // VARIANT=restart: instead of the second change, the plan service is killed and started again.
+    let restarts = std::env::var("VARIANT").is_ok_and(|variant| variant == "restart");
+    let (in_force_at, version): (Micros, String) = if restarts {
+        after_a_restart(&mut site, &record, &lower[..7])
+    } else {
+        after_another_change(&site, &record, &lower, &other)
+    };
     record.line(&format!(
         "told `{version}`; quotas: {} and {}",
         quota(&site, 0),
@@ -217,3 +202,58 @@
     }
     std::process::exit(if broken { BROKEN } else { HELD });
 }
+
+/// Lowers the limit while another author changes another plan. Returns when the latter was told that the new version is
+/// in force at all hosts, and the text.
+fn after_another_change(
+    site: &Site,
+    record: &Record,
+    lower: &[&str],
+    other: &[&str],
+) -> (Micros, String) {
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| {
+            let answer = site.operator(&["plan", "set"], "conf0", lower);
+            record.line(&format!("board   limit {LIMIT}/s: {}", answer.1));
+            (site.trace.now(), answer)
+        });
+        if !trouble() {
+            let (at, (succeeded, text)) = first.join().expect("no panic");
+            if !succeeded {
+                not_run(&text);
+            }
+            return (at, text);
+        }
+        std::thread::sleep(Duration::from_millis(40));
+        let (succeeded, text) = site.operator(&["plan", "set"], "conf0", other);
+        let at = site.trace.now();
+        record.line(&format!("desk    reserve 25/s: {text}"));
+        if !succeeded || !text.contains("version 6 in force at all 2 hosts") {
+            not_run(&format!("the second change: {text}"));
+        }
+        (at, text)
+    })
+}
+
+/// Lowers the limit, then kills the plan service and starts it again. Returns when `plan hosts` says that the new version
+/// is in force at all hosts, and its text.
+fn after_a_restart(site: &mut Site, record: &Record, lower: &[&str]) -> (Micros, String) {
+    let (_, text) = site.operator(&["plan", "set"], "conf0", lower);
+    record.line(&format!("board   limit {LIMIT}/s: {text}"));
+    if trouble() {
+        site.service = None;
+        site.start_control("conf0");
+        record.line("the plan service was killed and started again");
+    }
+    let began = Instant::now();
+    loop {
+        let text = site.operator(&["plan", "hosts"], "conf0", &[]).1;
+        if text.contains("in force at all of them: 5") {
+            return (site.trace.now(), text.replace('\n', "; "));
+        }
+        if began.elapsed() > Duration::from_secs(15) {
+            not_run(&text);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
