--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -104,7 +104,7 @@
         // SAFETY: the call between fork and exec only asks for SIGKILL (PR_SET_PDEATHSIG, 1) if this process ends.
         unsafe {
             shell.pre_exec(|| {
-                prctl(1, SIGKILL);
+                prctl(1, SIGKILL as std::ffi::c_ulong);
                 Ok(())
             });
         }
