Withdraw every part of an answered command, not only those before a released one

Cause: the parts of a command were a linked list through the block I/Os in flight. A part that the scheduler releases leaves that table, and the walk that withdraws the others ended at it, so all parts behind it stayed queued. `parts_in_flight`, which decides about parts of split writes and cuts, walked the same list.

Change: a command owns the ids of all its parts (smallvec, four without an allocation), and both walks pass over those that are released.

--- a/crates/iscsi-host/src/dispatcher/block_io.rs
+++ b/crates/iscsi-host/src/dispatcher/block_io.rs
@@ -6,7 +6,7 @@
 use super::volumes::VolumeIndex;
 use mallowseam_connection_policy::request_splitting::SubRequest;
 use mallowseam_cow::tree::{LayerExtent, LayerId};
-use mallowseam_scheduler::interface::{BioId, NodeId, Tick};
+use mallowseam_scheduler::interface::{NodeId, Tick};
 use std::rc::Rc;
 
 /// Origin of a block I/O.
@@ -14,8 +14,6 @@
     /// The block I/O is a part of a client's command.
     Command {
         command: CommandIndex,
-        /// Next part of the command.
-        next: Option<BioId>,
         /// LUN that the client has addressed.
         lun: u32,
         /// Branch or snapshot of a mapped volume that the command reads or writes; `None` for other volumes.
@@ -68,10 +66,9 @@
         }
     }
 
-    /// Creates a part of a command that has just arrived. `next`: the following part.
+    /// Creates a part of a command that has just arrived.
     pub(super) fn part(
         command: CommandIndex,
-        next: Option<BioId>,
         unit: &ExportedUnit,
         write: bool,
         request: SubRequest,
@@ -79,7 +76,6 @@
     ) -> Self {
         let origin = Origin::Command {
             command,
-            next,
             lun: unit.lun,
             branch: unit.branch.clone(),
         };
@@ -103,14 +99,6 @@
         }
     }
 
-    /// Returns the next part of the same command, if there is one.
-    pub(super) fn next(&self) -> Option<BioId> {
-        match self.origin {
-            Origin::Command { next, .. } => next,
-            Origin::Copy(_) => None,
-        }
-    }
-
     /// Returns the LUN that the client has addressed, or `None` for a copy step.
     pub(super) fn lun(&self) -> Option<u32> {
         match self.origin {
--- a/crates/iscsi-host/src/dispatcher/block_ios.rs
+++ b/crates/iscsi-host/src/dispatcher/block_ios.rs
@@ -3,7 +3,7 @@
 use super::attempt_timeouts::AttemptTimeouts;
 use super::bio_builder::BioBuilder;
 use super::block_io::{Attempt, BlockIo};
-use super::commands::CommandIndex;
+use super::commands::{CommandIndex, PartIds};
 use super::exported_units::ExportedUnit;
 use super::extent_copies::CopyStep;
 use super::io_classes::IoClass;
@@ -82,7 +82,7 @@
         self.driver.in_flight().iter().map(|(_, io)| io)
     }
 
-    /// Adds the parts of a command, linked in order. Returns the first part.
+    /// Adds the parts of a command. Returns their ids in order.
     pub(super) fn insert_parts(
         &mut self,
         command: CommandIndex,
@@ -90,14 +90,12 @@
         write: bool,
         parts: &[SubRequest],
         now: Tick,
-    ) -> Option<BioId> {
+    ) -> PartIds {
         let table = self.driver.in_flight_mut();
-        let mut first = None;
-        for part in parts.iter().rev() {
-            let io = BlockIo::part(command, first, unit, write, *part, now);
-            first = Some(table.insert(io));
-        }
-        first
+        let block_ios = parts
+            .iter()
+            .map(|part| BlockIo::part(command, unit, write, *part, now));
+        block_ios.map(|io| table.insert(io)).collect()
     }
 
     /// Adds a copy step.
@@ -129,17 +127,14 @@
     }
 
     /// Returns whether parts of a command are in flight, and whether any of them go to a layer other than
-    /// `layer`. Considers the parts from `first` up to the first one that is released.
+    /// `layer`. `ids`: all parts of the command, the released ones included.
     pub(super) fn parts_in_flight(
         &self,
         command: CommandIndex,
-        first: Option<BioId>,
+        ids: &[BioId],
         layer: LayerId,
     ) -> PartsInFlight {
-        let first = first.and_then(|id| self.part(id, command));
-        let parts = std::iter::successors(first, |part| {
-            part.data.next().and_then(|id| self.part(id, command))
-        });
+        let parts = ids.iter().filter_map(|id| self.part(*id, command));
         // The scheduler may send a queued part at any moment.
         let in_flight = parts.filter(|part| part.data.is_scheduled() && !part.is_answered());
         let mut found = PartsInFlight::default();
--- a/crates/iscsi-host/src/dispatcher/client_commands.rs
+++ b/crates/iscsi-host/src/dispatcher/client_commands.rs
@@ -109,10 +109,10 @@
         });
         self.clients
             .add_command(client, InFlightCommand { task, command });
-        let first = self
+        let parts = self
             .block_ios
             .insert_parts(command, &unit, transfer.write, parts, now);
-        self.commands.set_first_part(command, first);
+        self.commands.set_part_ids(command, parts);
         Ok(command)
     }
 
@@ -141,12 +141,10 @@
 
     /// Passes the parts of a new command to the scheduler. Parts of a mapped volume are looked up first.
     fn start_command(&mut self, scheduler: &mut Scheduler, command: CommandIndex) {
-        let mut next = self.commands.first_part(command);
-        while let Some(id) = next {
+        for id in self.commands.part_ids(command) {
             let Some(part) = self.block_ios.part(id, command) else {
-                return;
+                continue;
             };
-            next = part.data.next();
             let is_mapped = part.data.branch().is_some();
             self.block_ios.assign_sequence(id);
             if self.commands.is_answered(command) {
@@ -187,14 +185,12 @@
         }
     }
 
-    /// Withdraws the parts of a command that is answered or abandoned.
+    /// Withdraws the parts of a command that is answered or abandoned. Earlier parts may be released already.
     fn withdraw_parts(&mut self, command: CommandIndex) {
-        let mut next = self.commands.first_part(command);
-        while let Some(id) = next {
+        for id in self.commands.part_ids(command) {
             let Some(part) = self.block_ios.part_mut(id, command) else {
-                return;
+                continue;
             };
-            next = part.data.next();
             if !part.mark_answered() {
                 continue;
             }
--- a/crates/iscsi-host/src/dispatcher/commands.rs
+++ b/crates/iscsi-host/src/dispatcher/commands.rs
@@ -14,10 +14,17 @@
 use mallowseam_iscsi::initiator::Payload;
 use mallowseam_scheduler::interface::BioId;
 use mallowseam_sockets::slab::Slab;
+use smallvec::SmallVec;
 
 /// Index of a command.
 pub(super) type CommandIndex = u32;
 
+/// Number of parts whose ids are stored without an allocation.
+const INLINE_PARTS: usize = 4;
+
+/// Ids of the parts of a command, in order.
+pub(super) type PartIds = SmallVec<[BioId; INLINE_PARTS]>;
+
 /// Sender of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Issuer {
@@ -41,10 +48,10 @@
     /// Sender; `None` once the client has disconnected or aborted the command.
     issuer: Option<Issuer>,
     progress: CommandProgress,
-    /// First part. Each part refers to the next one.
-    first: Option<BioId>,
     /// Number of parts that the command was split into.
     parts: u32,
+    /// Ids of all parts, in order. The id of a part that is released may belong to another command by now.
+    part_ids: PartIds,
     /// Number of parts that are not released yet.
     unreleased: u32,
     /// State of the parts with respect to cuts, used if the command is a split write.
@@ -91,7 +98,7 @@
 }
 
 impl Commands {
-    /// Adds a command without its parts, which [`set_first_part`](Self::set_first_part) links to it.
+    /// Adds a command without its parts, which [`set_part_ids`](Self::set_part_ids) adds to it.
     pub(super) fn insert(&mut self, new: NewCommand) -> CommandIndex {
         let block_size = new.block_size as usize;
         let Transfer { write, blocks, .. } = new.transfer;
@@ -105,8 +112,8 @@
         self.table.insert(Command {
             issuer: Some(new.issuer),
             progress: CommandProgress::new(new.parts),
-            first: None,
             parts: new.parts,
+            part_ids: PartIds::default(),
             unreleased: new.parts,
             split_write: SplitWrite::default(),
             group_number: new.transfer.group_number,
@@ -115,14 +122,15 @@
         })
     }
 
-    /// Returns the first part of a command. Each part refers to the next one.
-    pub(super) fn first_part(&self, index: CommandIndex) -> Option<BioId> {
-        self.table.get(index)?.first
+    /// Returns the ids of all parts of a command, the released ones included.
+    pub(super) fn part_ids(&self, index: CommandIndex) -> PartIds {
+        let command = self.table.get(index);
+        command.map_or_else(PartIds::default, |command| command.part_ids.clone())
     }
 
-    pub(super) fn set_first_part(&mut self, index: CommandIndex, first: Option<BioId>) {
+    pub(super) fn set_part_ids(&mut self, index: CommandIndex, ids: PartIds) {
         if let Some(command) = self.table.get_mut(index) {
-            command.first = first;
+            command.part_ids = ids;
         }
     }
 
--- a/crates/iscsi-host/src/dispatcher/split_writes.rs
+++ b/crates/iscsi-host/src/dispatcher/split_writes.rs
@@ -48,8 +48,8 @@
             .mapped
             .as_ref()
             .is_some_and(|mapped| mapped.has_pending_cut(branch, now));
-        let first = self.commands.first_part(command);
-        let parts = self.block_ios.parts_in_flight(command, first, layer);
+        let ids = self.commands.part_ids(command);
+        let parts = self.block_ios.parts_in_flight(command, &ids, layer);
         self.commands
             .admit_part(command, layer, parts, cut_pending, now)
     }
--- a/crates/testbed/tests/host/main.rs
+++ b/crates/testbed/tests/host/main.rs
@@ -3,3 +3,4 @@
 mod lifecycle;
 mod protocol;
 mod site;
+mod split_commands;
