Ask whether a command is answered when an attempt of its part starts

Cause: the scheduler gives the first part up within a call, the host answers the command, and the withdrawal of the other parts can be reported only after the call. In the same call the scheduler dispatches the next part of the key, and `start_attempt` did not ask whether its command was answered.

Change: `Commands::begin_attempt`, the only source of what an attempt sends, returns nothing for a command that is answered or abandoned; the attempt ends as not sent, and the queued withdrawal ends the part.

--- a/crates/iscsi-host/src/dispatcher/attempts.rs
+++ b/crates/iscsi-host/src/dispatcher/attempts.rs
@@ -23,8 +23,8 @@
     /// Starts an attempt of a block I/O at a node.
     pub(super) fn start_attempt(&mut self, id: BioId, node: NodeId, timeout: Tick) {
         let Some(transfer) = self.prepare_transfer(id, node) else {
-            // The block I/O is unknown, or its copy has no slot left for another attempt. The scheduler still
-            // needs an outcome.
+            // The block I/O is unknown, its command is answered and the withdrawal not reported yet, or its copy has
+            // no slot left for another attempt. The scheduler still needs an outcome.
             return self.block_ios.attempt_not_sent(id, node);
         };
         let now = self.now;
--- a/crates/iscsi-host/src/dispatcher/commands.rs
+++ b/crates/iscsi-host/src/dispatcher/commands.rs
@@ -155,7 +155,8 @@
     }
 
     /// Records that an attempt of a part is sent, and may run from now on. Returns the group number and data of
-    /// the attempt. `non_idempotent`: whether the part must not run twice.
+    /// the attempt, or `None` if nothing may be sent any more, because the command is answered or abandoned.
+    /// `non_idempotent`: whether the part must not run twice.
     pub(super) fn begin_attempt(
         &mut self,
         index: CommandIndex,
@@ -163,6 +164,9 @@
         non_idempotent: bool,
     ) -> Option<PartTransfer> {
         let command = self.table.get_mut(index)?;
+        if command.progress.is_answered() {
+            return None;
+        }
         if non_idempotent {
             command.progress.attempt_sent();
         }
--- a/crates/iscsi-host/src/dispatcher/commands/tests.rs
+++ b/crates/iscsi-host/src/dispatcher/commands/tests.rs
@@ -115,3 +115,19 @@
     assert_eq!(admit(started, cut_pending), PartAdmission::Send);
     assert_eq!(admit(not_started, !cut_pending), PartAdmission::Send);
 }
+
+/// Guards against a part that is sent in the same call in which an earlier part decides the answer, before its
+/// withdrawal is reported to the scheduler.
+#[test]
+fn nothing_is_sent_for_a_command_that_is_answered_or_abandoned() {
+    let shed = RequestOutcome::Shed { retry_after: None };
+    let mut commands = Commands::default();
+    let answered = commands.insert(command(true, 2));
+    let answer = commands.part_finished(answered, shed, Vec::new());
+    assert_eq!(answer.expect("the part decides the answer").outcome, shed);
+    assert!(commands.begin_attempt(answered, &part(1), true).is_none());
+
+    let abandoned = commands.insert(command(true, 2));
+    assert!(commands.abandon(abandoned));
+    assert!(commands.begin_attempt(abandoned, &part(0), true).is_none());
+}
