Keep requests in the node's queue until the socket takes their first byte

Callers of `mallowseam run`: a write that was answered as failed, or whose client had left, was still sent to its node when the node read its socket again.

Cause: `Nodes::submit` encoded a request at once, while earlier bytes waited for the socket. Commands are numbered in order, so an encoded one could not be taken out; cancelling it appended an ABORT TASK behind it. Nobody asked again when its first byte was written.

Change: requests wait in the node's queue until all bytes before them are written. A flush encodes a batch; requests of which the socket takes no byte give their CmdSN back and return to the queue, where cancelling removes them. The event loop flushes again after its last reports.

--- a/crates/iscsi-host/src/client_connections.rs
+++ b/crates/iscsi-host/src/client_connections.rs
@@ -245,6 +245,11 @@
         }
     }
 
+    /// Returns whether the next flush has anything to write.
+    pub(crate) fn has_unflushed(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// Writes the queued bytes to all clients. Returns the clients that may have sent more data and have few
     /// enough unsent answers to be read from again.
     pub fn flush(&mut self, now: Tick) -> Vec<ClientId> {
--- a/crates/iscsi-host/src/dispatcher/connections.rs
+++ b/crates/iscsi-host/src/dispatcher/connections.rs
@@ -92,6 +92,11 @@
         self.clients.flush(self.now)
     }
 
+    /// Returns whether the next flush has anything to write to a node or a client.
+    pub(crate) fn has_unflushed(&self) -> bool {
+        self.nodes.has_unflushed() || self.clients.has_unflushed()
+    }
+
     /// Connects to the snapshot catalog and renews the lease if that is due, and writes the queued messages.
     pub(crate) fn maintain_catalog(&mut self) {
         if let Some(mapped) = &mut self.mapped {
--- a/crates/iscsi-host/src/event_loop.rs
+++ b/crates/iscsi-host/src/event_loop.rs
@@ -180,8 +180,13 @@
         self.publish_versions();
         self.dispatcher.maintain_catalog();
         self.flush();
-        // Attempts end when the flush fails their connection; the scheduler must be told.
+        // Attempts end when the flush fails their connection or finds the node's command window closed; the scheduler
+        // must be told. What it does then is written before the next poll, which may wait.
         self.dispatcher.process_pending(&mut self.scheduler);
+        while self.dispatcher.has_unflushed() {
+            self.flush();
+            self.dispatcher.process_pending(&mut self.scheduler);
+        }
     }
 
     fn accept_clients(&mut self) {
--- a/crates/iscsi-host/src/node_connections.rs
+++ b/crates/iscsi-host/src/node_connections.rs
@@ -1,5 +1,6 @@
 //! Connections to storage nodes, one for each node (`node`). A connection is opened when an attempt needs it.
-//! Attempts are queued until the login is complete; their own timeouts bound the wait.
+//! Attempts are queued until the login is complete and the socket takes their bytes; their own timeouts bound the wait.
+//! Until then an attempt can be cancelled, and nothing of it is ever sent.
 mod node;
 
 use crate::socket_io::ConnectionError;
@@ -11,7 +12,7 @@
 use mallowseam_settings::config;
 use mallowseam_sockets::clock::ticks_to_millis;
 use mio::{Registry, Token};
-use node::{Cancellation, Node, NodeRead, Submission};
+use node::{Cancellation, Node, NodeRead};
 use std::collections::VecDeque;
 use std::io;
 
@@ -147,14 +148,16 @@
             .push_back(FinishedAttempt::without_data(node, tag, result));
     }
 
-    /// Sends a request, or queues it until the login is complete. Opens the connection if it is closed.
+    /// Queues a request, which the next flush sends once the login is complete. Opens the connection if it is closed.
     pub fn submit(&mut self, index: NodeIndex, request: NodeRequest, now: Tick) {
-        let tag = request.tag;
-        match self.all[index].submit(request) {
-            Submission::Sent => self.mark_dirty(index),
-            Submission::Rejected => self.finish(index, tag, AttemptResult::Rejected),
-            Submission::Queued => self.open_if_closed(index, now),
-        }
+        self.all[index].submit(request);
+        self.mark_dirty(index);
+        self.open_if_closed(index, now);
+    }
+
+    /// Returns whether the next flush has anything to write.
+    pub(crate) fn has_unflushed(&self) -> bool {
+        !self.dirty.is_empty()
     }
 
     fn open_if_closed(&mut self, index: NodeIndex, now: Tick) {
@@ -241,9 +244,8 @@
         match event {
             InitiatorEvent::LoggedIn => {
                 tracing::info!(node = node.name(), "node connected");
-                for request in node.login_finished() {
-                    self.submit(index, request, now);
-                }
+                node.policy_mut().login_finished();
+                self.mark_dirty(index);
             }
             InitiatorEvent::CommandCompleted {
                 tag,
@@ -298,10 +300,15 @@
         });
     }
 
-    /// Writes the queued bytes to all nodes.
+    /// Sends the queued requests and bytes to all nodes, as far as their sockets take them.
     pub fn flush(&mut self) {
         while let Some(index) = self.dirty.pop() {
-            if let Err(e) = self.all[index].flush() {
+            let mut rejected = Vec::new();
+            let flushed = self.all[index].flush(&mut rejected);
+            for tag in rejected {
+                self.finish(index, tag, AttemptResult::Rejected);
+            }
+            if let Err(e) = flushed {
                 self.disconnect(index, &e.into());
             }
         }
--- a/crates/iscsi-host/src/node_connections/node.rs
+++ b/crates/iscsi-host/src/node_connections/node.rs
@@ -17,19 +17,35 @@
 /// Initiator session id of connections to nodes (RFC 7143, 11.12.5).
 const ISID: [u8; 6] = [0x80, 0, 0, 1, 0, 0];
 
+/// Number of encoded bytes at which a flush writes them before it encodes more requests.
+const MAX_BATCH_BYTES: usize = 256 * 1024;
+
 struct Link {
     socket: TcpStream,
     connection: InitiatorConnection,
 }
 
-/// Outcome of submitting a request.
-pub(super) enum Submission {
-    /// The request was buffered; the next flush sends it.
-    Sent,
-    /// The command window of the node is closed. The request was not sent.
-    Rejected,
-    /// The request waits for the login.
-    Queued,
+impl Link {
+    /// Writes the buffered bytes. Returns whether all of them are written.
+    fn write(&mut self) -> Result<bool, ConnectionError> {
+        let buffer = self.connection.send_buffer();
+        socket_io::write(&mut self.socket, buffer)?;
+        Ok(buffer.unsent().is_empty())
+    }
+
+    /// Encodes a request. Returns false if the command window of the node is closed.
+    fn send(&mut self, request: &NodeRequest, default_lun: u32) -> bool {
+        let NodeRequest {
+            tag,
+            lun,
+            cdb,
+            read_len,
+            data,
+        } = request;
+        let lun = lun.unwrap_or(default_lun);
+        self.connection
+            .send_command(*tag, lun, cdb, *read_len, data.clone())
+    }
 }
 
 /// Outcome of cancelling a request.
@@ -66,8 +82,10 @@
     lun: u32,
     policy: NodeConnection,
     link: Option<Link>,
-    /// Requests to send once the login is complete.
+    /// Requests to send once the login is complete and the socket takes their bytes, in order.
     queue: VecDeque<NodeRequest>,
+    /// Requests that the current flush has encoded, in order; empty between flushes.
+    encoded: Vec<NodeRequest>,
     /// Whether the node is in `Nodes::dirty`.
     dirty: bool,
     /// Whether the socket may have data to read.
@@ -85,6 +103,7 @@
             policy: NodeConnection::default(),
             link: None,
             queue: VecDeque::new(),
+            encoded: Vec::new(),
             dirty: false,
             readable: false,
         }
@@ -115,26 +134,9 @@
         self.readable |= readable;
     }
 
-    /// Sends a request, or queues it until the login is complete.
-    pub(super) fn submit(&mut self, request: NodeRequest) -> Submission {
-        let link = self.link.as_mut().filter(|_| self.policy.is_ready());
-        let Some(link) = link else {
-            self.queue.push_back(request);
-            return Submission::Queued;
-        };
-        let lun = request.lun.unwrap_or(self.lun);
-        let NodeRequest {
-            tag,
-            cdb,
-            read_len,
-            data,
-            ..
-        } = request;
-        if link.connection.send_command(tag, lun, &cdb, read_len, data) {
-            Submission::Sent
-        } else {
-            Submission::Rejected
-        }
+    /// Queues a request to be sent by the next flush.
+    pub(super) fn submit(&mut self, request: NodeRequest) {
+        self.queue.push_back(request);
     }
 
     /// Starts to connect and log in.
@@ -155,12 +157,6 @@
         Ok(())
     }
 
-    /// Records that the login is complete. Returns the requests that waited for it.
-    pub(super) fn login_finished(&mut self) -> VecDeque<NodeRequest> {
-        self.policy.login_finished();
-        std::mem::take(&mut self.queue)
-    }
-
     /// Cancels a request; if it was sent, the task is aborted.
     pub(super) fn cancel(&mut self, tag: u32, now: Tick) -> Cancellation {
         let queued = self.queue.len();
@@ -187,6 +183,7 @@
     /// have run, any other has not.
     pub(super) fn close(&mut self, registry: &Registry) -> Vec<LostAttempt> {
         self.policy.closed();
+        self.encoded.clear();
         let queued = std::mem::take(&mut self.queue);
         let mut lost: Vec<LostAttempt> = queued
             .into_iter()
@@ -232,15 +229,38 @@
         self.link.as_mut()?.connection.next_event()
     }
 
-    /// Writes the queued bytes to the node.
-    pub(super) fn flush(&mut self) -> Result<(), ConnectionError> {
+    /// Writes the buffered bytes and then the queued requests to the node, until its socket would block. Adds the tags
+    /// of the requests that the command window of the node did not admit to `rejected`; they were not sent.
+    ///
+    /// A request whose first byte the socket does not take returns to the queue, where it can still be cancelled:
+    /// encoded bytes are sent whatever becomes of their command.
+    pub(super) fn flush(&mut self, rejected: &mut Vec<u32>) -> Result<(), ConnectionError> {
         self.dirty = false;
-        match &mut self.link {
-            Some(link) => {
-                socket_io::write(&mut link.socket, link.connection.send_buffer()).map(|_written| ())
+        let is_ready = self.policy.is_ready();
+        let Some(link) = &mut self.link else {
+            return Ok(());
+        };
+        while link.write()? && is_ready && !self.queue.is_empty() {
+            while let Some(request) = self.queue.pop_front() {
+                if !link.send(&request, self.lun) {
+                    rejected.push(request.tag);
+                    continue;
+                }
+                self.encoded.push(request);
+                if link.connection.send_buffer().unsent().len() >= MAX_BATCH_BYTES {
+                    break;
+                }
+            }
+            link.write()?;
+            while let Some(request) = self.encoded.pop() {
+                if !link.connection.take_back_command(request.tag) {
+                    break;
+                }
+                self.queue.push_front(request);
             }
-            None => Ok(()),
+            self.encoded.clear();
         }
+        Ok(())
     }
 
     /// Returns the reason for which the connection must be closed now, if it has timed out.
--- a/crates/iscsi/src/frame/send_buffer.rs
+++ b/crates/iscsi/src/frame/send_buffer.rs
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Drops the unsent bytes from a stream offset on.
+    pub fn truncate(&mut self, offset: u64) {
+        let kept = offset.saturating_sub(self.sent) as usize;
+        self.bytes.truncate(self.start + kept);
+        self.mark_sent(0);
+    }
+
     /// Returns the number of bytes written since the stream opened.
     pub fn sent_bytes(&self) -> u64 {
         self.sent
--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -159,11 +159,13 @@
             read: ReadTransfer::new(read_len),
             write: WriteTransfer::new(write_data, immediate),
             stream_offset,
+            stream_end: stream_offset,
             aborted: false,
         };
         if data_out_follows {
             self.send_burst(&mut command, RESERVED_TAG, unsolicited);
         }
+        command.stream_end = self.send_buffer.end_offset();
         self.commands.insert(index, command);
         true
     }
@@ -204,6 +206,23 @@
             .any(|command| command.tag == tag && command.stream_offset < sent)
     }
 
+    /// Takes back the command that was sent last, if none of its bytes has been written to the stream and nothing was
+    /// sent after it. The target then never learns of it. Returns whether it was taken back.
+    pub fn take_back_command(&mut self, tag: u32) -> bool {
+        let (written, end) = (self.send_buffer.sent_bytes(), self.send_buffer.end_offset());
+        let unwritten = self.commands.iter().find(|command| {
+            command.tag == tag && command.stream_offset >= written && command.stream_end == end
+        });
+        let Some((itt, offset)) = unwritten.map(|command| (command.itt, command.stream_offset))
+        else {
+            return false;
+        };
+        self.commands.remove(itt);
+        self.send_buffer.truncate(offset);
+        self.sequence.take_back_number();
+        true
+    }
+
     /// Requests that the target abort a command. Its completion is not reported from now on.
     pub fn abort_task(&mut self, tag: u32) {
         let Some(command) = self.commands.start_abort(tag) else {
--- a/crates/iscsi/src/initiator/command_table.rs
+++ b/crates/iscsi/src/initiator/command_table.rs
@@ -17,6 +17,8 @@
     pub write: WriteTransfer,
     /// Stream offset of the first byte of the command.
     pub stream_offset: u64,
+    /// Stream offset after the command and its unsolicited data.
+    pub stream_end: u64,
     /// Whether an ABORT TASK was sent for the command. The command stays in the table until that request is answered.
     pub aborted: bool,
 }
--- a/crates/iscsi/src/initiator/sequence.rs
+++ b/crates/iscsi/src/initiator/sequence.rs
@@ -49,6 +49,11 @@
         numbered
     }
 
+    /// Makes the `CmdSN` of the last numbered request the next one again, as that request is not sent.
+    pub(super) fn take_back_number(&mut self) {
+        self.cmd_sn = self.cmd_sn.wrapping_sub(1);
+    }
+
     /// Sets `ExpStatSN` in a header, which acknowledges the statuses received so far.
     pub(super) fn acknowledge(&self, bhs: Bhs) -> Bhs {
         bhs.with_exp_stat_sn(self.exp_stat_sn)
--- a/crates/iscsi/tests/sessions/commands.rs
+++ b/crates/iscsi/tests/sessions/commands.rs
@@ -178,3 +178,38 @@
     pair.initiator.send_buffer().mark_sent(1);
     assert!(pair.initiator.has_started_sending(1) && !pair.initiator.has_started_sending(2));
 }
+
+#[test]
+fn a_command_that_is_taken_back_unwritten_leaves_no_gap_in_the_command_numbers() {
+    let mut pair = ConnectedPair::new(short_lengths(), usize::MAX);
+    let read = scsi::read_or_write_16(false, 9, 80, 5);
+    let write = scsi::read_or_write_16(true, 9, 8, 5);
+    let initiator = &mut pair.initiator;
+    assert!(initiator.send_command(1, 3, &write, 0, vec![1; 4096].into()));
+    assert!(initiator.take_back_command(1));
+    assert!(!initiator.take_back_command(1), "it is taken back already");
+    assert_eq!(initiator.in_flight(), 0);
+    assert!(initiator.send_buffer().unsent().is_empty());
+
+    assert!(initiator.send_command(2, 3, &read, 512, vec![].into()));
+    assert!(initiator.send_command(3, 3, &read, 512, vec![].into()));
+    assert!(
+        !initiator.take_back_command(2),
+        "another command was sent after it"
+    );
+    assert!(initiator.send_command(4, 3, &write, 0, vec![1; 4096].into()));
+    assert!(initiator.take_back_command(4));
+    pair.run();
+    let cdbs = [pair.next_command().cdb, pair.next_command().cdb];
+    assert_eq!(cdbs, [read, read], "the target executes both in order");
+}
+
+#[test]
+fn a_command_that_is_partly_written_is_not_taken_back() {
+    let mut pair = ConnectedPair::new(short_lengths(), usize::MAX);
+    let read = scsi::read_or_write_16(false, 9, 80, 5);
+    assert!(pair.initiator.send_command(1, 3, &read, 512, vec![].into()));
+    pair.initiator.send_buffer().mark_sent(1);
+    assert!(!pair.initiator.take_back_command(1));
+    assert!(pair.initiator.has_started_sending(1));
+}
