Refuse the id of a side-effecting request that has run or may have run

Cause: an id was known only while its block I/O was in flight. When its client leaves, the attempt is cancelled, the block I/O released and the id forgotten, while the node runs the request.

Ids whose client was answered make room by age; ids in doubt never do, and while there are too many, side-effecting requests are shed unsent. The status log has `executed_ids`, which the log test now expects as well. `may_have_run` of the scheduler's policy is public, and the iSCSI host uses it in place of its copy.

Not covered, and said so: an id that comes to another host or after a restart.

--- a/crates/connection-policy/src/lib.rs
+++ b/crates/connection-policy/src/lib.rs
@@ -13,6 +13,7 @@
 //!
 //! For clients that send one request at a time (HTTP):
 //! - [`client_connection`]: timeouts of a connection, and which one is evicted when there are too many.
+//! - [`executed_requests`]: which ids of side-effecting requests are remembered, so that none is run twice.
 //! - [`connection_reserve`]: how many connections are kept for new clients while the others wait for nodes.
 //! - `rejection_backoff`: how long a client's next request is left unread after a rejected one.
 //! - [`graceful_shutdown`]: how long a host that shuts down admits requests.
@@ -37,6 +38,7 @@
 pub mod command_progress;
 pub mod connection_reserve;
 pub mod endpoint_list_request;
+pub mod executed_requests;
 pub mod graceful_shutdown;
 pub mod keep_alive;
 pub mod node_connection;
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -7,5 +7,6 @@
 mod event_loop;
 mod node_responses;
 mod races;
+mod repeated_ids;
 mod shutdown;
 mod support;
--- a/crates/iscsi-host/src/dispatcher/block_ios.rs
+++ b/crates/iscsi-host/src/dispatcher/block_ios.rs
@@ -12,6 +12,7 @@
 use mallowseam_connection_policy::request_splitting::SubRequest;
 use mallowseam_cow::tree::LayerId;
 use mallowseam_scheduler::interface::{AttemptResult, Bio, BioId, KeyId, NodeId, Tick};
+use mallowseam_scheduler::may_have_run;
 use mallowseam_scheduler_driver::{FinishedAttempt, InFlight, SchedulerDriver};
 use mallowseam_settings::GatewayConfig;
 
@@ -251,10 +252,7 @@
     ) -> Option<EndedAttempt> {
         let io = self.driver.in_flight().get(id)?;
         let Attempt { node, sent, .. } = *io.attempt()?;
-        let did_not_run = matches!(
-            result,
-            AttemptResult::Rejected | AttemptResult::ConnectFailed | AttemptResult::NotSent
-        );
+        let did_not_run = !may_have_run(result);
         let ended = EndedAttempt {
             node,
             command: io.data.command(),
--- a/crates/platform-host/src/dispatcher.rs
+++ b/crates/platform-host/src/dispatcher.rs
@@ -121,6 +121,11 @@
         self.host.counters
     }
 
+    /// Returns the number of ids of side-effecting requests that are remembered, for the status log.
+    pub fn executed(&self) -> usize {
+        self.host.executed.len()
+    }
+
     /// Returns the numbers of interned nodes, volumes, keys and request ids, in this order.
     pub fn interned(&self) -> [usize; 4] {
         self.host.names.counts()
@@ -220,6 +225,7 @@
         let now_ms = self.now_ms();
         let now = self.now();
         self.host.clients.check_timeouts(now_ms);
+        self.host.executed.forget_old(now_ms);
         self.host.nodes.close_expired_idle(now);
     }
 
--- a/crates/platform-host/src/dispatcher/admission.rs
+++ b/crates/platform-host/src/dispatcher/admission.rs
@@ -5,7 +5,7 @@
 use mallowseam_platform::interner::InternError;
 use mallowseam_platform::request::{self, BlockRequest, ClientRequest};
 use mallowseam_platform::response;
-use mallowseam_scheduler::interface::{Bio, Tick};
+use mallowseam_scheduler::interface::{Bio, Idempotency, Tick};
 use mallowseam_sockets::clock::ticks_to_millis;
 
 impl SchedulerHost {
@@ -38,11 +38,29 @@
             self.clients.respond(slot, response, now);
             return None;
         }
-        if !self.clients.may_admit() {
+        let is_side_effecting = self.is_side_effecting(&block);
+        if is_side_effecting && self.executed.contains(block.id.bytes()) {
+            self.clients
+                .reject_request(slot, CONFLICT, "this id may have run", now);
+            return None;
+        }
+        let in_flight = self.driver.in_flight().len();
+        let can_remember = !is_side_effecting || self.executed.may_admit(in_flight);
+        if !can_remember || !self.clients.may_admit() {
             self.shed_request(slot, retry_after);
             return None;
         }
-        self.admit(slot, &block)
+        self.admit(slot, &block, is_side_effecting)
+    }
+
+    /// Returns whether a request must not be run again when its id comes a second time.
+    fn is_side_effecting(&self, block: &BlockRequest) -> bool {
+        let class = self
+            .settings
+            .scheduler
+            .classes
+            .get(usize::from(block.io_class));
+        class.is_none_or(|class| class.idempotency != Idempotency::Idempotent)
     }
 
     /// Sheds a request that is not admitted.
@@ -67,7 +85,12 @@
 
     /// Registers the block I/O of a valid request and returns it, or rejects the request if its names cannot be
     /// interned.
-    fn admit(&mut self, slot: ClientSlot, block: &BlockRequest) -> Option<Bio> {
+    fn admit(
+        &mut self,
+        slot: ClientSlot,
+        block: &BlockRequest,
+        is_side_effecting: bool,
+    ) -> Option<Bio> {
         let now = self.times.now_ms();
         let id = self.driver.in_flight().next_id();
         let io = match self
@@ -85,6 +108,8 @@
             id: block.id,
             client: slot,
             deadline: io.deadline,
+            is_side_effecting,
+            may_have_run: None,
         });
         self.counters.admitted += 1;
         self.clients.on_admitted(slot, io.id, now);
--- a/crates/platform-host/src/dispatcher/attempts.rs
+++ b/crates/platform-host/src/dispatcher/attempts.rs
@@ -2,7 +2,9 @@
 use super::block_io::waiting_client;
 use super::scheduler_host::SchedulerHost;
 use crate::nodes::{Completion, ForwardedRequest, NodeEvent};
+use mallowseam_connection_policy::executed_requests::ClientKnowledge;
 use mallowseam_scheduler::interface::{AttemptResult, BioId, NodeId, Tick};
+use mallowseam_scheduler::may_have_run;
 use mallowseam_scheduler_driver::FinishedAttempt;
 use mallowseam_sockets::clock::ticks_from_millis;
 
@@ -100,6 +102,14 @@
             finished.volume_usage = response.volume_usage;
             finished.load_report = response.load_report;
         }
+        if may_have_run(completion.result)
+            && let Some(entry) = self.driver.in_flight_mut().get_mut(completion.io)
+        {
+            entry
+                .data
+                .may_have_run
+                .get_or_insert(ClientKnowledge::InDoubt);
+        }
         self.driver.queue_finished(finished);
     }
 }
--- a/crates/platform-host/src/dispatcher/block_io.rs
+++ b/crates/platform-host/src/dispatcher/block_io.rs
@@ -1,4 +1,5 @@
 //! A client's block I/O in flight.
+use mallowseam_connection_policy::executed_requests::ClientKnowledge;
 use mallowseam_platform::request::RequestId;
 use mallowseam_scheduler::interface::Tick;
 use mallowseam_scheduler_driver::InFlight;
@@ -16,6 +17,10 @@
     pub client: ClientSlot,
     /// Time after which the client no longer waits for the final response.
     pub deadline: Tick,
+    /// Whether the block I/O must not be run again when its id comes a second time.
+    pub is_side_effecting: bool,
+    /// What the client knows, once a node may have run the block I/O.
+    pub may_have_run: Option<ClientKnowledge>,
 }
 
 /// Returns the slot of the client that waits for the final response of a block I/O, or `None` if it was already
--- a/crates/platform-host/src/dispatcher/final_responses.rs
+++ b/crates/platform-host/src/dispatcher/final_responses.rs
@@ -3,6 +3,7 @@
 use super::scheduler_host::SchedulerHost;
 use crate::clients::{OK, Response};
 use crate::nodes::Success;
+use mallowseam_connection_policy::executed_requests::ClientKnowledge;
 use mallowseam_connection_policy::graceful_shutdown::GracefulShutdown;
 use mallowseam_platform::response;
 use mallowseam_scheduler::interface::{BioId, Tick};
@@ -67,6 +68,9 @@
     pub(super) fn forward_response(&mut self, success: &Success) {
         if let Some(slot) = self.take_client(success.completion.io) {
             self.forward_to(slot, success);
+            if let Some(entry) = self.driver.in_flight_mut().get_mut(success.completion.io) {
+                entry.data.may_have_run = Some(ClientKnowledge::Answered);
+            }
         }
         self.nodes.finish(success, self.times.now());
         self.queue_completion(&success.completion);
--- a/crates/platform-host/src/dispatcher/scheduler_host.rs
+++ b/crates/platform-host/src/dispatcher/scheduler_host.rs
@@ -4,6 +4,7 @@
 use super::event_times::EventTimes;
 use crate::clients::ClientConnections;
 use crate::nodes::{Completion, NodeConnections};
+use mallowseam_connection_policy::executed_requests::ExecutedRequests;
 use mallowseam_platform::interner::NameInterner;
 use mallowseam_platform::settings::PlatformSettings;
 use mallowseam_scheduler::interface::{BioId, Host, KeyId, NodeId, Tick, VolumeId};
@@ -16,17 +17,19 @@
     pub(super) clients: ClientConnections,
     pub(super) nodes: NodeConnections,
     pub(super) names: NameInterner,
+    pub(super) executed: ExecutedRequests,
     pub(super) counters: IoCounters,
     pub(super) driver: SchedulerDriver<BlockIo, NodeSlot>,
 }
 
 impl SchedulerHost {
-    /// Creates a host with no block I/Os in flight.
+    /// Creates a host with no block I/Os in flight. `executed`: an empty memory of the ids that were executed.
     pub fn new(
         now: Tick,
         settings: PlatformSettings,
         clients: ClientConnections,
         nodes: NodeConnections,
+        executed: ExecutedRequests,
     ) -> Self {
         SchedulerHost {
             times: EventTimes::new(now),
@@ -34,6 +37,7 @@
             clients,
             nodes,
             names: NameInterner::default(),
+            executed,
             counters: IoCounters::default(),
             driver: SchedulerDriver::default(),
         }
@@ -88,8 +92,14 @@
     }
 
     fn release_bio(&mut self, bio: BioId) {
-        if let Some(released) = self.driver.in_flight_mut().release(bio) {
-            self.names.release_request(&released.data.id);
+        let Some(released) = self.driver.in_flight_mut().release(bio) else {
+            return;
+        };
+        let io = released.data;
+        self.names.release_request(&io.id);
+        if let Some(knowledge) = io.may_have_run.filter(|_| io.is_side_effecting) {
+            let now = self.times.now_ms();
+            self.executed.record(now, io.id.bytes(), knowledge);
         }
     }
 
--- a/crates/platform-host/src/dispatcher/tests.rs
+++ b/crates/platform-host/src/dispatcher/tests.rs
@@ -2,6 +2,7 @@
 //! result, it would start block I/Os and attempts for clients that are gone. The tests decide when the poll reports
 //! an event, and how old its last result is.
 use super::*;
+use mallowseam_connection_policy::executed_requests::ExecutedRequests;
 use mallowseam_connection_policy::keep_alive::KeepAlivePolicy;
 use mallowseam_scheduler::interface::EndpointEvent;
 use mallowseam_sockets::clock::ticks_to_millis;
@@ -49,7 +50,8 @@
         let keep_alive = KeepAlivePolicy::new(Some(15_000), ticks_to_millis(now));
         let nodes = NodeConnections::new(registry(), 64, 1 << 20, 2_500, keep_alive);
         let scheduler = Scheduler::new(&settings.scheduler, 7, now);
-        let host = SchedulerHost::new(now, settings, clients, nodes);
+        let executed = ExecutedRequests::new(7, 32);
+        let host = SchedulerHost::new(now, settings, clients, nodes, executed);
         let mut dispatcher = Dispatcher::new(Clock::from_zero(), scheduler, host);
         let dial = node.local_addr().expect("bound");
         let list = format!(
--- a/crates/platform-host/src/event_loop/startup.rs
+++ b/crates/platform-host/src/event_loop/startup.rs
@@ -10,6 +10,7 @@
 use crate::error::HostError;
 use crate::nodes::NodeConnections;
 use crate::signals::SignalPipes;
+use mallowseam_connection_policy::executed_requests::ExecutedRequests;
 use mallowseam_connection_policy::keep_alive::KeepAlivePolicy;
 use mallowseam_connection_policy::resource_budget::ResourceBudget;
 use mallowseam_platform::config::HostConfig;
@@ -61,7 +62,8 @@
         let nodes = open_nodes(&settings, &budget, poll.registry(), now)?;
         log_start(config, &budget);
         let scheduler = Scheduler::new(&settings.scheduler, config.seed, now);
-        let host = SchedulerHost::new(now, settings, clients, nodes);
+        let executed = ExecutedRequests::new(config.seed, config.memory_mb);
+        let host = SchedulerHost::new(now, settings, clients, nodes, executed);
         Ok(EventLoop {
             dispatcher: Dispatcher::new(clock, scheduler, host),
             listener,
--- a/crates/platform-host/src/event_loop/status_log.rs
+++ b/crates/platform-host/src/event_loop/status_log.rs
@@ -53,6 +53,7 @@
         node_connections = nodes.len(),
         keep_alive_ms,
         interned = ?dispatcher.interned(),
+        executed_ids = dispatcher.executed(),
         "host status"
     );
 }
--- a/crates/platform-host/tests/log.rs
+++ b/crates/platform-host/tests/log.rs
@@ -103,6 +103,7 @@
         "node_connections",
         "keep_alive_ms",
         "interned",
+        "executed_ids",
     ];
     assert_eq!(line.names(), names);
     assert_eq!(line.field("keep_alive_ms"), "15000");
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,4 +17,4 @@
 mod timer_queue;
 
 pub use interner::Interner;
-pub use policy::Scheduler;
+pub use policy::{Scheduler, may_have_run};
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -32,4 +32,5 @@
 mod volume;
 mod warm_demand;
 
+pub use idempotency::may_have_run;
 pub use scheduler::Scheduler;
--- a/crates/scheduler/src/policy/idempotency.rs
+++ b/crates/scheduler/src/policy/idempotency.rs
@@ -12,7 +12,8 @@
 }
 
 /// Returns whether an attempt with this result may have run on its node.
-pub(super) fn may_have_run(result: AttemptResult) -> bool {
+#[must_use]
+pub fn may_have_run(result: AttemptResult) -> bool {
     use AttemptResult::{ConnectFailed, NotSent, Rejected};
     !matches!(result, Rejected | ConnectFailed | NotSent)
 }
