Do not send the unread commands of an iSCSI client that has left

Callers of `mallowseam run`: of 60 writes that a client had sent before it closed its connection, 5 were sent to the node after the close, at a host that was held up meanwhile.

Cause: the end of a connection shows only behind all that was sent before it. The host read 128 KiB and handled the commands in them before it read on, and it took the event of a closed or failed connection for bytes to read.

Change: such an event closes the connection at once; otherwise the commands of a client are handled once its socket is empty or 1 MiB is read ahead.

--- a/crates/connection-policy/src/admission.rs
+++ b/crates/connection-policy/src/admission.rs
@@ -24,6 +24,9 @@
 /// Number of unsent bytes for a client from which on nothing more is read from it: room for a few of its longest
 /// reads. The client's commands in flight are bounded by its command window.
 pub const MAX_UNSENT_BYTES: usize = 1 << 20;
+/// Number of bytes that are read from a client ahead of the commands in them. A client's close shows only behind all
+/// that it sent before, so a host that has read little of much would send commands of a client that has left.
+pub const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
 /// Index of a connection. The caller chooses small numbers, since tables are indexed by them.
 pub type ConnectionIndex = usize;
 
@@ -172,6 +175,13 @@
         unsent_bytes < MAX_UNSENT_BYTES
     }
 
+    /// Returns whether the host may read more from a connection before it handles the commands in `unhandled_bytes` bytes
+    /// that it has read.
+    #[must_use]
+    pub fn may_read_ahead(&self, unhandled_bytes: usize) -> bool {
+        unhandled_bytes < MAX_READ_AHEAD_BYTES
+    }
+
     /// Returns the action that the timeouts of a connection require now.
     pub fn check_timeouts(
         &mut self,
--- a/crates/gateway/tests/platform/main.rs
+++ b/crates/gateway/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! controls. The tests check what the host sends and receives on its sockets.
 mod client_requests;
 mod configuration;
+mod departed_clients;
 mod descriptor_limits;
 mod endpoint_list;
 mod event_loop;
--- a/crates/iscsi-host/src/client_connections.rs
+++ b/crates/iscsi-host/src/client_connections.rs
@@ -52,6 +52,8 @@
     dirty: bool,
     /// Whether the socket may have data to read.
     readable: bool,
+    /// Number of bytes read whose commands are not handled yet.
+    unhandled_bytes: usize,
     commands: Vec<InFlightCommand>,
 }
 
@@ -120,6 +122,7 @@
             connection,
             dirty: false,
             readable: false,
+            unhandled_bytes: 0,
             commands: Vec::new(),
         });
         tracing::debug!(%peer, client = id, "client connection opened");
@@ -159,6 +162,7 @@
         match socket_io::read(&mut client.socket, buffer) {
             ReadOutcome::WouldBlock => client.readable = false,
             ReadOutcome::Read(len) => {
+                client.unhandled_bytes += len;
                 self.admission
                     .bytes_received(id as usize, ticks_to_millis(now));
                 let mut login = LoginAdmission {
@@ -181,6 +185,19 @@
         false
     }
 
+    /// Returns whether more may be read from a client before its commands are handled.
+    pub(crate) fn may_read_ahead(&self, id: ClientId) -> bool {
+        let client = self.all.get(id);
+        client.is_some_and(|client| self.admission.may_read_ahead(client.unhandled_bytes))
+    }
+
+    /// Records that all commands of a client that were read are handled now.
+    pub(crate) fn begin_handling(&mut self, id: ClientId) {
+        if let Some(client) = self.all.get_mut(id) {
+            client.unhandled_bytes = 0;
+        }
+    }
+
     /// Takes the next event of a client's session.
     pub fn next_event(&mut self, id: ClientId) -> Option<TargetEvent> {
         self.all.get_mut(id)?.connection.next_event()
@@ -278,6 +295,11 @@
         }
     }
 
+    /// Closes the connection of a client that has closed its side, or whose connection has failed.
+    pub(crate) fn close_left(&mut self, id: ClientId) {
+        self.close(id, &ConnectionError::ClosedByPeer.into());
+    }
+
     /// Closes the connections that a new login of the same client has replaced.
     pub fn close_replaced(&mut self) {
         while let Some(id) = self.replaced.pop() {
--- a/crates/iscsi-host/src/dispatcher/connections.rs
+++ b/crates/iscsi-host/src/dispatcher/connections.rs
@@ -33,7 +33,15 @@
         self.clients.mark_ready(client, readable);
     }
 
-    /// Reads once from a client and handles its commands. Returns whether there may be more to read.
+    /// Closes the connection of a client that has closed its side or whose connection has failed, and withdraws its
+    /// commands. What it sent before is not read: nobody waits for an answer.
+    pub(crate) fn client_left(&mut self, scheduler: &mut Scheduler, client: ClientId) {
+        self.clients.close_left(client);
+        self.process_pending(scheduler);
+    }
+
+    /// Reads once from a client. Handles its commands once all that it has sent is read, or as much as may be read ahead.
+    /// Returns whether there may be more to read; the caller then has to call this again.
     pub(crate) fn read_client(
         &mut self,
         scheduler: &mut Scheduler,
@@ -41,6 +49,10 @@
         buffer: &mut [u8],
     ) -> bool {
         let has_more = self.clients.read(client, buffer, self.now);
+        if has_more && self.clients.may_read_ahead(client) {
+            return true;
+        }
+        self.clients.begin_handling(client);
         while let Some(event) = self.clients.next_event(client) {
             self.on_client_event(scheduler, client, event);
         }
--- a/crates/iscsi-host/src/event_loop.rs
+++ b/crates/iscsi-host/src/event_loop.rs
@@ -36,6 +36,7 @@
 use mallowseam_sockets::clock::{Clock, ticks_to_duration};
 use mallowseam_sockets::periodic_timer::PeriodicTimer;
 use membership::Membership;
+use mio::event::Event;
 use mio::{Events, Poll, Token};
 use pending_reads::{PendingRead, PendingReads};
 use plans::ReplicatedPlans;
@@ -49,6 +50,25 @@
 /// Interval between checks of connections for timeouts, in ticks. Fine enough for timeouts of seconds.
 const CONNECTION_CHECK_INTERVAL: Tick = 1_000;
 
+/// What the poll has reported for a socket.
+#[derive(Clone, Copy)]
+struct Readiness {
+    /// The socket may have bytes or an error to read.
+    readable: bool,
+    /// The peer has closed its side, or the connection has failed; bytes may be unread before that.
+    ended: bool,
+}
+
+impl Readiness {
+    fn of(event: &Event) -> Self {
+        let ended = event.is_error() || event.is_read_closed();
+        Readiness {
+            readable: event.is_readable() || ended,
+            ended,
+        }
+    }
+}
+
 /// A running host.
 struct EventLoop {
     config: GatewayConfig,
@@ -132,13 +152,12 @@
         // members whose acknowledgements are still queued in the socket.
         self.membership.tick();
         for event in events {
-            let readable = event.is_readable() || event.is_error() || event.is_read_closed();
-            self.on_event(event.token(), readable);
+            self.on_event(event.token(), Readiness::of(event));
         }
         self.after_events();
     }
 
-    fn on_event(&mut self, token: Token, readable: bool) {
+    fn on_event(&mut self, token: Token, Readiness { readable, ended }: Readiness) {
         let node_count = self.dispatcher.nodes().len();
         match Source::of_token(token, node_count) {
             Source::Listener => self.listener.mark_ready(),
@@ -161,6 +180,9 @@
                 self.dispatcher.mark_node_ready(node, readable);
                 self.read_node(node);
             }
+            Source::Client(client) if ended => {
+                self.dispatcher.client_left(&mut self.scheduler, client);
+            }
             Source::Client(client) => {
                 self.dispatcher.mark_client_ready(client, readable);
                 self.read_client(client);
