Close the oldest unfinished iSCSI login for a new client when connections run out

Callers of `mallowseam run`: with 128 connections, 300 half logins kept others out; 119 of 395 commands were answered (tried from outside).

Cause: connections without a session counted like all others, held their place for the 5 s of the login timeout, and every further client was closed at once.

Change: with all connections taken, the oldest one without a session is closed for the next client once it has had 100 ms; until then new clients stay in the listener's queue. Connections with a session are never closed for new ones.

--- a/crates/connection-policy/src/admission.rs
+++ b/crates/connection-policy/src/admission.rs
@@ -27,6 +27,9 @@
 /// Number of bytes that are read from a client ahead of the commands in them. A client's close shows only behind all
 /// that it sent before, so a host that has read little of much would send commands of a client that has left.
 pub const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
+/// Time for which a connection may log in undisturbed, in milliseconds. Where there are too many connections, an older one
+/// without a session makes room for a new one, so that clients that never finish their login keep nobody out.
+pub const UNDISTURBED_LOGIN: Millis = 100;
 /// Index of a connection. The caller chooses small numbers, since tables are indexed by them.
 pub type ConnectionIndex = usize;
 
@@ -47,6 +50,19 @@
     OutOfResources,
 }
 
+/// Decision on the next connection that a client opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextConnection {
+    /// Accept it.
+    Admit,
+    /// Close this connection, which has no session, and accept the new one.
+    Replace(ConnectionIndex),
+    /// Leave it in the listener's queue: a connection without a session will soon be replaced or log in.
+    Wait,
+    /// Accept it and close it at once: all connections have sessions.
+    Reject,
+}
+
 /// Session of a login that was admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmittedSession {
@@ -79,6 +95,19 @@
         }
     }
 
+    /// Returns the decision on the next connection that a client opens.
+    #[must_use]
+    pub fn next_connection(&self, now: Millis) -> NextConnection {
+        if self.connections.count() < self.max_connections {
+            return NextConnection::Admit;
+        }
+        match self.connections.oldest_without_session() {
+            None => NextConnection::Reject,
+            Some(oldest) if now < oldest.opened + UNDISTURBED_LOGIN => NextConnection::Wait,
+            Some(oldest) => NextConnection::Replace(oldest.index),
+        }
+    }
+
     /// Admits an accepted connection. Returns false if there are too many connections; the caller then closes the
     /// connection at once.
     #[must_use]
--- a/crates/connection-policy/src/admission/connections.rs
+++ b/crates/connection-policy/src/admission/connections.rs
@@ -32,6 +32,13 @@
     }
 }
 
+/// Connection whose login is not finished.
+pub(super) struct PendingLogin {
+    pub(super) index: ConnectionIndex,
+    /// Time at which the connection was opened.
+    pub(super) opened: Millis,
+}
+
 /// Open connections by index.
 #[derive(Default)]
 pub(super) struct Connections {
@@ -70,6 +77,19 @@
         self.slots.get_mut(index)?.as_mut()
     }
 
+    /// Returns the connection that has been without a session for the longest time.
+    pub(super) fn oldest_without_session(&self) -> Option<PendingLogin> {
+        let slots = self.slots.iter().enumerate();
+        let pending = slots.filter_map(|(index, slot)| {
+            let connection = slot.as_ref().filter(|slot| slot.session.is_none())?;
+            Some(PendingLogin {
+                index,
+                opened: connection.timeouts.opened(),
+            })
+        });
+        pending.min_by_key(|login| login.opened)
+    }
+
     /// Returns the first connection other than `index` that has a session of the given initiator port.
     pub(super) fn other_session_of(
         &self,
--- a/crates/connection-policy/src/admission/timeouts.rs
+++ b/crates/connection-policy/src/admission/timeouts.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Returns the time at which the connection was opened.
+    pub(super) fn opened(&self) -> Millis {
+        self.opened
+    }
+
     pub(super) fn bytes_received(&mut self, now: Millis) {
         self.last_received = now;
         self.unanswered_pings = 0;
--- a/crates/connection-policy/tests/admission.rs
+++ b/crates/connection-policy/tests/admission.rs
@@ -2,7 +2,8 @@
 use mallowseam_connection_policy::Millis;
 use mallowseam_connection_policy::admission::{
     AdmissionController, CloseReason, ConnectionState, LOGIN_TIMEOUT, LOGOUT_TIMEOUT,
-    LoginRejection, MAX_UNSENT_BYTES, PING_INTERVAL, STALL_TIMEOUT, TimeoutAction,
+    LoginRejection, MAX_UNSENT_BYTES, NextConnection, PING_INTERVAL, STALL_TIMEOUT, TimeoutAction,
+    UNDISTURBED_LOGIN,
 };
 
 const BUSY: ConnectionState = ConnectionState {
@@ -218,3 +219,20 @@
         TimeoutAction::Close(CloseReason::WriteTimeout)
     );
 }
+
+#[test]
+fn a_full_host_replaces_the_oldest_unfinished_login_once_it_has_had_its_time() {
+    let mut admission = controller_with_session();
+    assert_eq!(admission.next_connection(100), NextConnection::Admit);
+    assert!(admission.admit_connection(2, 100));
+    assert!(admission.admit_connection(1, 110));
+    let due = 100 + UNDISTURBED_LOGIN;
+    assert_eq!(admission.next_connection(due - 1), NextConnection::Wait);
+    assert_eq!(admission.next_connection(due), NextConnection::Replace(2));
+    for index in [1, 2] {
+        admission
+            .login(index, "iqn.b", Some("iqn.t"), [index as u8; 6], 0)
+            .expect("the login is admitted");
+    }
+    assert_eq!(admission.next_connection(due), NextConnection::Reject);
+}
--- a/crates/iscsi-host/src/client_connections.rs
+++ b/crates/iscsi-host/src/client_connections.rs
@@ -4,7 +4,7 @@
 use crate::socket_io::{self, ConnectionError, ReadOutcome};
 use login::LoginAdmission;
 use mallowseam_connection_policy::admission::{
-    AdmissionController, CloseReason, ConnectionState, TimeoutAction,
+    AdmissionController, CloseReason, ConnectionState, NextConnection, TimeoutAction,
 };
 use mallowseam_iscsi::target::{TargetConfig, TargetConnection, TargetEvent};
 use mallowseam_scheduler::interface::Tick;
@@ -38,6 +38,8 @@
     LoggedOut,
     #[error("the same client has logged in again")]
     Replaced,
+    #[error("login not finished, and there are too many connections")]
+    Evicted,
     #[error("{}", .0.as_str())]
     Timeout(CloseReason),
 }
@@ -94,8 +96,18 @@
         }
     }
 
-    /// Adds an accepted connection. Closes it instead if there are too many.
+    /// Returns whether the next connection is to be left in the listener's queue for now.
+    pub(crate) fn must_wait(&self, now: Tick) -> bool {
+        let next = self.admission.next_connection(ticks_to_millis(now));
+        next == NextConnection::Wait
+    }
+
+    /// Adds an accepted connection. If there are too many, closes one whose login is not finished, or else the new one.
     pub fn accept(&mut self, mut socket: TcpStream, peer: SocketAddr, now: Tick) {
+        if let NextConnection::Replace(index) = self.admission.next_connection(ticks_to_millis(now))
+        {
+            self.close(index as ClientId, &Disconnect::Evicted);
+        }
         let _ = socket.set_nodelay(true);
         let connection = TargetConnection::new(Rc::clone(&self.target_config));
         let id = self.all.next_index();
--- a/crates/iscsi-host/src/dispatcher/connections.rs
+++ b/crates/iscsi-host/src/dispatcher/connections.rs
@@ -23,6 +23,11 @@
         self.clients.admission.stop_draining();
     }
 
+    /// Returns whether the next connection of a client is to be left in the listener's queue for now.
+    pub(crate) fn must_clients_wait(&self) -> bool {
+        self.clients.must_wait(self.now)
+    }
+
     /// Adds an accepted connection of a client.
     pub(crate) fn accept_client(&mut self, socket: TcpStream, peer: SocketAddr) {
         self.clients.accept(socket, peer, self.now);
--- a/crates/iscsi-host/src/event_loop.rs
+++ b/crates/iscsi-host/src/event_loop.rs
@@ -211,8 +211,13 @@
         }
     }
 
+    /// Accepts clients. Those that have to wait for room stay in the listener's queue until the next check of the
+    /// connections.
     fn accept_clients(&mut self) {
-        while let Some((socket, peer)) = self.listener.accept() {
+        while !self.dispatcher.must_clients_wait() {
+            let Some((socket, peer)) = self.listener.accept() else {
+                break;
+            };
             self.dispatcher.accept_client(socket, peer);
         }
     }
--- a/crates/testbed/tests/host/main.rs
+++ b/crates/testbed/tests/host/main.rs
@@ -5,3 +5,4 @@
 mod protocol;
 mod site;
 mod split_commands;
+mod unfinished_logins;
