Bound the memory that the data of iSCSI clients takes, over all connections

Callers of `mallowseam run`: with many clients that stopped half way through large writes the process grew without a bound of its own (156 MB with 36 clients of 60 begun writes; `status` told of 0.1 MB), and is killed where it has a limit.

Cause: all bounds were for one connection, and the received parts of unfinished writes were counted nowhere.

Change: connection_policy::client_memory owns the sum.

--- a/crates/connection-policy/src/lib.rs
+++ b/crates/connection-policy/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! For clients that keep a session open (iSCSI):
 //! - [`admission`]: which logins are admitted and when a connection is closed.
+//! - [`client_memory`]: how much memory the data of clients may take.
 //! - [`request_splitting`]: how a command is split into sub-requests.
 //! - [`command_progress`]: how the outcomes of sub-requests are combined into the answer of a command.
 //! - [`node_connection`]: when a connection to a storage node is opened and closed.
@@ -35,6 +36,7 @@
 
 pub mod admission;
 pub mod client_connection;
+pub mod client_memory;
 pub mod command_progress;
 pub mod connection_reserve;
 pub mod endpoint_list_request;
--- a/crates/iscsi-host/src/client_connections.rs
+++ b/crates/iscsi-host/src/client_connections.rs
@@ -6,6 +6,7 @@
 use mallowseam_connection_policy::admission::{
     AdmissionController, CloseReason, ConnectionState, NextConnection, TimeoutAction,
 };
+use mallowseam_connection_policy::client_memory::ClientMemory;
 use mallowseam_iscsi::target::{TargetConfig, TargetConnection, TargetEvent};
 use mallowseam_scheduler::interface::Tick;
 use mallowseam_sockets::clock::ticks_to_millis;
@@ -40,6 +41,8 @@
     Replaced,
     #[error("login not finished, and there are too many connections")]
     Evicted,
+    #[error("no progress, and the data of clients takes too much memory")]
+    OutOfMemory,
     #[error("{}", .0.as_str())]
     Timeout(CloseReason),
 }
@@ -59,11 +62,20 @@
     commands: Vec<InFlightCommand>,
 }
 
+impl Client {
+    /// Returns the number of bytes that are held for the client: what was received and not handled, and unsent answers.
+    fn held_bytes(&self) -> usize {
+        self.connection.held_bytes() + self.unhandled_bytes
+    }
+}
+
 /// Connections of all clients.
 pub struct Clients {
     all: Slab<Client>,
     /// Decides who may connect, log in and send commands.
     pub admission: AdmissionController,
+    /// Decides how much memory the data of clients may take.
+    pub memory: ClientMemory,
     target_config: Rc<TargetConfig>,
     registry: Registry,
     first_token: usize,
@@ -80,6 +92,7 @@
     #[must_use]
     pub fn new(
         admission: AdmissionController,
+        memory: ClientMemory,
         target_config: Rc<TargetConfig>,
         registry: Registry,
         first_token: usize,
@@ -87,6 +100,7 @@
         Clients {
             all: Slab::default(),
             admission,
+            memory,
             target_config,
             registry,
             first_token,
@@ -183,6 +197,14 @@
                     replaced: &mut self.replaced,
                 };
                 let received = client.connection.receive(&buffer[..len], &mut login);
+                let has_progressed = client.connection.has_event();
+                let held = client.held_bytes();
+                self.memory.buffers_changed(
+                    id as usize,
+                    ticks_to_millis(now),
+                    held,
+                    has_progressed,
+                );
                 self.mark_dirty(id);
                 match received {
                     Ok(()) => return true,
@@ -264,11 +286,17 @@
             return;
         };
         client.dirty = false;
-        match socket_io::write(&mut client.socket, client.connection.send_buffer()) {
-            Ok(0) => {}
-            Ok(_) => self.admission.bytes_sent(id as usize, ticks_to_millis(now)),
+        let written = match socket_io::write(&mut client.socket, client.connection.send_buffer()) {
+            Ok(written) => written,
             Err(e) => return self.close(id, &e.into()),
+        };
+        let now = ticks_to_millis(now);
+        if written > 0 {
+            self.admission.bytes_sent(id as usize, now);
         }
+        let held = client.held_bytes();
+        self.memory
+            .buffers_changed(id as usize, now, held, written > 0);
         if client.connection.is_closing() && client.connection.send_buffer().unsent().is_empty() {
             self.close(id, &Disconnect::LoggedOut);
         }
@@ -294,6 +322,9 @@
                 resumed.push(id);
             }
         }
+        while let Some(index) = self.memory.connection_to_close() {
+            self.close(index as ClientId, &Disconnect::OutOfMemory);
+        }
         resumed
     }
 
@@ -301,6 +332,7 @@
         if let Some(mut client) = self.all.remove(id) {
             let _ = self.registry.deregister(&mut client.socket);
             self.admission.connection_closed(id as usize);
+            self.memory.connection_closed(id as usize);
             let name = client.name.unwrap_or_default();
             tracing::info!(peer = %client.peer, name, %reason, "client connection closed");
             self.abandoned.push(client.commands);
--- a/crates/iscsi-host/src/dispatcher/client_commands.rs
+++ b/crates/iscsi-host/src/dispatcher/client_commands.rs
@@ -93,12 +93,15 @@
             .map_err(Answer::CheckCondition)?;
         let now = self.now;
         let admission = &self.clients.admission;
+        let bytes = transfer.bytes(unit.block_size);
         if !admission.admits_commands(ticks_to_millis(now))
             || !self.block_ios.has_capacity_for(parts.len())
+            || !self.clients.memory.admits_command(bytes)
         {
             return Err(Answer::TaskSetFull);
         }
         self.metrics.command_admitted();
+        self.clients.memory.command_admitted(bytes);
         let ClientRequest { client, task, .. } = request;
         let command = self.commands.insert(NewCommand {
             issuer: Issuer { client, task },
@@ -268,8 +271,10 @@
         {
             mapped.on_copy_step_given_up(extent, ticks_to_millis(self.now));
         }
-        if let Some(command) = io.data.command() {
-            self.commands.release_part(command);
+        if let Some(command) = io.data.command()
+            && let Some(bytes) = self.commands.release_part(command)
+        {
+            self.clients.memory.command_released(bytes);
         }
     }
 }
--- a/crates/iscsi-host/src/dispatcher/commands.rs
+++ b/crates/iscsi-host/src/dispatcher/commands.rs
@@ -60,6 +60,8 @@
     group_number: u8,
     /// Block size in bytes.
     block_size: usize,
+    /// Number of bytes that the command reads or writes.
+    bytes: usize,
     data: CommandData,
 }
 
@@ -118,6 +120,7 @@
             split_write: SplitWrite::default(),
             group_number: new.transfer.group_number,
             block_size,
+            bytes: new.transfer.bytes(new.block_size),
             data,
         })
     }
@@ -235,15 +238,15 @@
         })
     }
 
-    /// Records that a part is released. Removes the command with its last part.
-    pub(super) fn release_part(&mut self, index: CommandIndex) {
-        let Some(command) = self.table.get_mut(index) else {
-            return;
-        };
+    /// Records that a part is released. Removes the command with its last part, and returns the number of bytes of its
+    /// data then.
+    pub(super) fn release_part(&mut self, index: CommandIndex) -> Option<usize> {
+        let command = self.table.get_mut(index)?;
         command.unreleased -= 1;
-        if command.unreleased == 0 {
-            self.table.remove(index);
+        if command.unreleased > 0 {
+            return None;
         }
+        self.table.remove(index).map(|command| command.bytes)
     }
 
     /// Returns whether a command has several parts.
--- a/crates/iscsi-host/src/dispatcher/transfer.rs
+++ b/crates/iscsi-host/src/dispatcher/transfer.rs
@@ -12,6 +12,11 @@
 }
 
 impl Transfer {
+    /// Returns the number of bytes that the command reads or writes. `block_size`: size of a block in bytes.
+    pub(super) fn bytes(&self, block_size: u32) -> usize {
+        self.blocks as usize * block_size as usize
+    }
+
     /// Returns the transfer of a command, or `None` if the command neither reads nor writes blocks.
     pub(super) fn of_command(command: &Command) -> Option<Transfer> {
         match *command {
--- a/crates/iscsi-host/src/event_loop/open.rs
+++ b/crates/iscsi-host/src/event_loop/open.rs
@@ -17,6 +17,7 @@
 use crate::node_connections::Nodes;
 use crate::scheduler_config;
 use mallowseam_connection_policy::admission::AdmissionController;
+use mallowseam_connection_policy::client_memory::{self, ClientMemory};
 use mallowseam_control_protocol::startup;
 use mallowseam_iscsi::frame::Digests;
 use mallowseam_iscsi::params::ProposedParams;
@@ -96,8 +97,16 @@
     });
     let admission =
         AdmissionController::new(&config.host.target, config.host.max_connections as usize);
+    let memory = ClientMemory::new(
+        config
+            .host
+            .client_memory_bytes
+            .unwrap_or(client_memory::DEFAULT_LIMIT),
+        config.host.max_transfer_bytes,
+    );
     Ok(Clients::new(
         admission,
+        memory,
         target_config,
         startup::registry(poll)?,
         first_client(config.nodes.len()),
--- a/crates/iscsi/src/frame/decoder.rs
+++ b/crates/iscsi/src/frame/decoder.rs
@@ -41,6 +41,11 @@
         !self.header.is_empty()
     }
 
+    /// Returns the number of bytes that have been received of a PDU that is not complete.
+    pub fn received_bytes(&self) -> usize {
+        self.header.len() + self.data.len()
+    }
+
     /// Returns the memory allocated for the PDU that is being received, in bytes.
     pub fn allocated_bytes(&self) -> usize {
         self.header.capacity() + self.data.capacity()
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -114,6 +114,11 @@
         self.events.pop_front()
     }
 
+    /// Returns whether [`next_event`](Self::next_event) has an event to return.
+    pub fn has_event(&self) -> bool {
+        !self.events.is_empty()
+    }
+
     /// Returns whether the session is in the full feature phase.
     pub fn is_logged_in(&self) -> bool {
         matches!(self.phase, Phase::FullFeature | Phase::Discovery)
@@ -136,7 +141,15 @@
 
     /// Returns the memory allocated for the buffers of the connection, in bytes.
     pub fn allocated_bytes(&self) -> usize {
-        self.decoder.allocated_bytes() + self.send_buffer.allocated_bytes()
+        self.decoder.allocated_bytes()
+            + self.send_buffer.allocated_bytes()
+            + self.tasks.received_bytes()
+    }
+
+    /// Returns the number of bytes that are held for the client: received parts of PDUs and of writes, and unsent answers.
+    pub fn held_bytes(&self) -> usize {
+        let unsent = self.send_buffer.unsent().len();
+        self.decoder.received_bytes() + unsent + self.tasks.received_bytes()
     }
 
     /// Sends a NOP-In that requests an answer. Returns the number of unanswered ones, including this one.
--- a/crates/iscsi/src/target/task_table.rs
+++ b/crates/iscsi/src/target/task_table.rs
@@ -26,6 +26,12 @@
         self.len
     }
 
+    /// Returns the number of bytes that have been received of writes that are not complete.
+    pub fn received_bytes(&self) -> usize {
+        let tasks = self.slots.iter().flatten();
+        tasks.map(|task| task.write.received_bytes()).sum()
+    }
+
     /// Returns the number of slots, used or free: all indices in use are below it.
     pub fn slot_count(&self) -> usize {
         self.slots.len()
--- a/crates/iscsi/src/target/write_transfer.rs
+++ b/crates/iscsi/src/target/write_transfer.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns the number of bytes received so far; 0 once they were delivered.
+    pub(super) fn received_bytes(&self) -> usize {
+        self.data.len()
+    }
+
     /// Returns whether the command and all its data were delivered to the caller.
     pub(super) fn is_delivered(&self) -> bool {
         self.phase == DataPhase::Delivered
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -76,6 +76,8 @@
     pub max_connections: u32,
     /// Maximum size of a client's read or write, in bytes.
     pub max_transfer_bytes: u64,
+    /// Memory for the data of clients, in bytes, if the configuration states it.
+    pub client_memory_bytes: Option<u64>,
     /// Whether to ask clients and nodes for CRC32C digests of headers.
     pub header_digest: bool,
     /// Whether to ask clients and nodes for CRC32C digests of data.
--- a/crates/settings/src/parser/directives/host.rs
+++ b/crates/settings/src/parser/directives/host.rs
@@ -30,6 +30,7 @@
             &mut host.max_transfer_bytes,
             args.size("a size such as 1MiB"),
         ),
+        "memory" => host.client_memory_bytes = args.size("a size such as 256MiB"),
         "digests" => digests(host, args),
         "seed" => host.seed = args.integer("a whole number", 0, u64::MAX),
         "fleet" => host.fleet = fleet_membership(&host.name, args),
--- a/crates/stand-ins/src/node/connections.rs
+++ b/crates/stand-ins/src/node/connections.rs
@@ -1,6 +1,7 @@
 //! Connections of a stand-in node and the sessions on them.
 use super::transfer::TaskRef;
 use mallowseam_connection_policy::admission::AdmissionController;
+use mallowseam_connection_policy::client_memory::ClientMemory;
 use mallowseam_iscsi::params::ProposedParams;
 use mallowseam_iscsi::target::{TargetConfig, TargetConnection, TargetEvent};
 use mallowseam_iscsi_host::client_connections::Clients;
@@ -139,5 +140,13 @@
     };
     let registry = registry.try_clone().expect("a registry can be cloned");
     let admission = AdmissionController::new(target, MAX_CONNECTIONS);
-    Clients::new(admission, Rc::new(config), registry, FIRST_CONNECTION)
+    // A stand-in node is as large as its test needs.
+    let memory = ClientMemory::new(u64::MAX, 0);
+    Clients::new(
+        admission,
+        memory,
+        Rc::new(config),
+        registry,
+        FIRST_CONNECTION,
+    )
 }
--- a/crates/testbed/tests/host/main.rs
+++ b/crates/testbed/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! Tests of one host process between clients and two stand-in nodes.
 mod block_io;
+mod crowded_memory;
 mod departed_clients;
 mod lifecycle;
 mod protocol;
