--- a/crates/settings/src/parser/directives/host.rs
+++ b/crates/settings/src/parser/directives/host.rs
@@ -37,7 +37,7 @@
         _ => {
             return unknown(
                 "listen, target, control, node-list, kept-list, follow, kept-plans, window, connections, longest, \
-                 digests, seed, fleet",
+                 memory, digests, seed, fleet",
             );
         }
     }
