--- a/crates/testbed/tests/host/crowded_memory.rs
+++ b/crates/testbed/tests/host/crowded_memory.rs
@@ -1,5 +1,5 @@
 //! Many clients that send parts of large writes and stop, at a host with little memory.
-use crate::site::{Site, read};
+use crate::site::{Site, memory_mib, read};
 use mallowseam_iscsi::scsi;
 use mallowseam_testbed::blocking_client::BlockingClient;
 use std::io::Write;
@@ -23,18 +23,6 @@
     )
 }
 
-/// Returns the resident memory of the host, in MiB.
-fn memory_mib(site: &Site) -> u64 {
-    let path = format!("/proc/{}/status", site.host.id());
-    let status = std::fs::read_to_string(path).expect("the process exists");
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    let kibibytes: u64 = value
-        .and_then(|value| value.parse().ok())
-        .expect("the status has VmRSS in kB");
-    kibibytes / 1024
-}
-
 /// Sends the first bytes of many writes: as many as go without a request of the host, and no more.
 fn begin_writes(client: &mut BlockingClient) {
     for tag in 0..WRITES {
--- a/crates/testbed/tests/host/main.rs
+++ b/crates/testbed/tests/host/main.rs
@@ -2,6 +2,7 @@
 mod block_io;
 mod crowded_memory;
 mod departed_clients;
+mod floods;
 mod lifecycle;
 mod protocol;
 mod site;
