Withdraw attempts that wait for a node's connection when the node drains

Callers of `mallowseam run`: a write that waited for its node's login was sent to that node after its drain was told, and answered with GOOD.

Cause: the scheduler moves what it holds for an inactive node, but an attempt that it has started counts as sent, and the queue of the node's connection was not asked. Requests wait in that queue for a full socket too, up to the attempt's timeout and so beyond the 2 s that the rule allows.

Change: an update of the endpoint list withdraws the attempts in the queues of nodes that are not active, as not sent.

--- a/crates/iscsi-host/src/dispatcher.rs
+++ b/crates/iscsi-host/src/dispatcher.rs
@@ -162,6 +162,7 @@
         }
         let now = self.now;
         scheduler.on_endpoints(self, now, event, nodes);
+        self.withdraw_from_inactive_nodes(event, nodes);
         self.process_pending(scheduler);
     }
 
--- a/crates/iscsi-host/src/dispatcher/attempts.rs
+++ b/crates/iscsi-host/src/dispatcher/attempts.rs
@@ -6,7 +6,9 @@
 use mallowseam_cow::tree::{LayerExtent, Location};
 use mallowseam_iscsi::initiator::Payload;
 use mallowseam_iscsi::scsi;
-use mallowseam_scheduler::interface::{AttemptResult, BioId, NodeId, Tick};
+use mallowseam_scheduler::interface::{
+    AttemptResult, BioId, EndpointEvent, NodeEndpoint, NodeId, NodeState, Tick,
+};
 use mallowseam_scheduler_driver::InFlight;
 
 /// SCSI group number of copies, by which a trace of a node shows them.
@@ -128,6 +130,29 @@
         self.finish_attempt(id, if was_unsent { unsent } else { sent });
     }
 
+    /// Withdraws the attempts that wait to be sent to nodes that an update of the endpoint list has made inactive.
+    pub(super) fn withdraw_from_inactive_nodes(
+        &mut self,
+        event: EndpointEvent,
+        listed: &[NodeEndpoint],
+    ) {
+        for node in 0..self.nodes.len() {
+            let entry = listed.iter().find(|entry| entry.node.0 as usize == node);
+            let is_inactive = match entry {
+                Some(entry) => entry.state != NodeState::Active,
+                None => event == EndpointEvent::FullSnapshot,
+            };
+            if !is_inactive {
+                continue;
+            }
+            for tag in self.nodes.take_queued(node) {
+                if let Some(id) = self.block_ios.in_flight_with_tag(tag) {
+                    self.finish_attempt(id, AttemptResult::NotSent);
+                }
+            }
+        }
+    }
+
     /// Handles an attempt that its node has answered or that ended because the connection was lost.
     pub(super) fn on_finished_attempt(&mut self, finished: FinishedAttempt) {
         let Some(id) = self.block_ios.in_flight_with_tag(finished.tag) else {
--- a/crates/iscsi-host/src/node_connections.rs
+++ b/crates/iscsi-host/src/node_connections.rs
@@ -155,6 +155,11 @@
         self.open_if_closed(index, now);
     }
 
+    /// Removes the attempts that wait to be sent to a node, and returns their tags.
+    pub(crate) fn take_queued(&mut self, index: NodeIndex) -> Vec<u32> {
+        self.all[index].take_queued()
+    }
+
     /// Returns whether the next flush has anything to write.
     pub(crate) fn has_unflushed(&self) -> bool {
         !self.dirty.is_empty()
--- a/crates/iscsi-host/src/node_connections/node.rs
+++ b/crates/iscsi-host/src/node_connections/node.rs
@@ -139,6 +139,11 @@
         self.queue.push_back(request);
     }
 
+    /// Removes the queued requests, and returns their tags.
+    pub(super) fn take_queued(&mut self) -> Vec<u32> {
+        self.queue.drain(..).map(|request| request.tag).collect()
+    }
+
     /// Starts to connect and log in.
     pub(super) fn open(
         &mut self,
--- a/crates/testbed/tests/host/crowded_memory.rs
+++ b/crates/testbed/tests/crowds/crowded_memory.rs
@@ -1,5 +1,6 @@
 //! Many clients that send parts of large writes and stop, at a host with little memory.
-use crate::site::{Site, memory_mib, read};
+use crate::memory::memory_mib;
+use crate::site::{Site, read};
 use mallowseam_iscsi::scsi;
 use mallowseam_testbed::blocking_client::BlockingClient;
 use std::io::Write;
