Remove the two new dependencies, and two pieces of logic that stood twice

Change: `PartIds` keeps a single id in place and several in an Rc; fingerprints of ids use the standard library's hasher.

--- a/crates/connection-policy/src/client_connection.rs
+++ b/crates/connection-policy/src/client_connection.rs
@@ -153,10 +153,7 @@
     /// Returns whether the connection may be evicted for a new one.
     #[must_use]
     pub fn is_evictable(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Lingering | Phase::Idle | Phase::AwaitingFirstRequest
-        )
+        self.eviction_key(self.phase_began).is_some()
     }
 
     /// Returns the connection's place in the order of eviction: by rank, then by the time it entered its phase,
--- a/crates/connection-policy/src/executed_requests.rs
+++ b/crates/connection-policy/src/executed_requests.rs
@@ -7,6 +7,7 @@
 //! requests to be shed, which is harmless, until the oldest have reached their age.
 use crate::Millis;
 use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hasher};
 
 /// Minimum time for which an id is remembered, in milliseconds. Far longer than any deadline of a request.
 pub const RETENTION: Millis = 60_000;
@@ -133,6 +134,9 @@
     }
 
     fn fingerprint(&self, id: &[u8]) -> u64 {
-        xxhash_rust::xxh3::xxh3_64_with_seed(id, self.seed)
+        let mut hasher = DefaultHasher::new();
+        hasher.write_u64(self.seed);
+        hasher.write(id);
+        hasher.finish()
     }
 }
--- a/crates/iscsi-host/src/dispatcher.rs
+++ b/crates/iscsi-host/src/dispatcher.rs
@@ -31,6 +31,7 @@
 mod local_commands;
 mod lookups;
 mod mapped_volumes;
+mod part_ids;
 mod parts_in_flight;
 mod scheduler_host;
 mod split_writes;
--- a/crates/iscsi-host/src/dispatcher/block_ios.rs
+++ b/crates/iscsi-host/src/dispatcher/block_ios.rs
@@ -3,10 +3,11 @@
 use super::attempt_timeouts::AttemptTimeouts;
 use super::bio_builder::BioBuilder;
 use super::block_io::{Attempt, BlockIo};
-use super::commands::{CommandIndex, PartIds};
+use super::commands::CommandIndex;
 use super::exported_units::ExportedUnit;
 use super::extent_copies::CopyStep;
 use super::io_classes::IoClass;
+use super::part_ids::PartIds;
 use super::parts_in_flight::PartsInFlight;
 use super::volumes::Volume;
 use mallowseam_connection_policy::request_splitting::SubRequest;
@@ -93,10 +94,12 @@
         now: Tick,
     ) -> PartIds {
         let table = self.driver.in_flight_mut();
-        let block_ios = parts
-            .iter()
-            .map(|part| BlockIo::part(command, unit, write, *part, now));
-        block_ios.map(|io| table.insert(io)).collect()
+        let mut insert =
+            |part: &SubRequest| table.insert(BlockIo::part(command, unit, write, *part, now));
+        match parts {
+            [part] => PartIds::One(insert(part)),
+            parts => PartIds::Many(parts.iter().map(insert).collect()),
+        }
     }
 
     /// Adds a copy step.
--- a/crates/iscsi-host/src/dispatcher/client_commands.rs
+++ b/crates/iscsi-host/src/dispatcher/client_commands.rs
@@ -144,7 +144,7 @@
 
     /// Passes the parts of a new command to the scheduler. Parts of a mapped volume are looked up first.
     fn start_command(&mut self, scheduler: &mut Scheduler, command: CommandIndex) {
-        for id in self.commands.part_ids(command) {
+        for &id in self.commands.part_ids(command).as_slice() {
             let Some(part) = self.block_ios.part(id, command) else {
                 continue;
             };
@@ -190,7 +190,7 @@
 
     /// Withdraws the parts of a command that is answered or abandoned. Earlier parts may be released already.
     fn withdraw_parts(&mut self, command: CommandIndex) {
-        for id in self.commands.part_ids(command) {
+        for &id in self.commands.part_ids(command).as_slice() {
             let Some(part) = self.block_ios.part_mut(id, command) else {
                 continue;
             };
--- a/crates/iscsi-host/src/dispatcher/commands.rs
+++ b/crates/iscsi-host/src/dispatcher/commands.rs
@@ -3,6 +3,7 @@
 mod tests;
 
 use super::layer_location::LayerLocation;
+use super::part_ids::PartIds;
 use super::parts_in_flight::PartsInFlight;
 use super::transfer::Transfer;
 use crate::client_connections::ClientId;
@@ -12,19 +13,11 @@
 use mallowseam_cow::split_write::{PartAdmission, SplitWrite};
 use mallowseam_cow::tree::LayerId;
 use mallowseam_iscsi::initiator::Payload;
-use mallowseam_scheduler::interface::BioId;
 use mallowseam_sockets::slab::Slab;
-use smallvec::SmallVec;
 
 /// Index of a command.
 pub(super) type CommandIndex = u32;
 
-/// Number of parts whose ids are stored without an allocation.
-const INLINE_PARTS: usize = 4;
-
-/// Ids of the parts of a command, in order.
-pub(super) type PartIds = SmallVec<[BioId; INLINE_PARTS]>;
-
 /// Sender of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Issuer {
--- a/crates/iscsi-host/src/dispatcher/split_writes.rs
+++ b/crates/iscsi-host/src/dispatcher/split_writes.rs
@@ -49,7 +49,9 @@
             .as_ref()
             .is_some_and(|mapped| mapped.has_pending_cut(branch, now));
         let ids = self.commands.part_ids(command);
-        let parts = self.block_ios.parts_in_flight(command, &ids, layer);
+        let parts = self
+            .block_ios
+            .parts_in_flight(command, ids.as_slice(), layer);
         self.commands
             .admit_part(command, layer, parts, cut_pending, now)
     }
--- a/crates/platform-host/src/clients/responses.rs
+++ b/crates/platform-host/src/clients/responses.rs
@@ -61,6 +61,12 @@
         Response::new(status, b"")
     }
 
+    /// Creates the response to a request that was not executed. `retry_after_ms`: time after which the client may retry,
+    /// which the response states if there is one.
+    pub fn shed(retry_after_ms: Option<u64>) -> Self {
+        Response::empty(response::SHED_STATUS).with_retry_after(retry_after_ms)
+    }
+
     /// Creates a successful response whose body is moved with the buffer that contains it.
     pub fn from_buffer(buffer: Vec<u8>, body: Range<usize>) -> Self {
         Response {
@@ -71,7 +77,7 @@
     }
 
     /// Sets the value of Retry-After, in milliseconds.
-    pub fn with_retry_after(self, retry_after_ms: Option<u64>) -> Self {
+    fn with_retry_after(self, retry_after_ms: Option<u64>) -> Self {
         Response {
             retry_after_ms,
             ..self
--- a/crates/platform-host/src/dispatcher/admission.rs
+++ b/crates/platform-host/src/dispatcher/admission.rs
@@ -34,8 +34,7 @@
         // No block I/O is started for a client that has disconnected.
         let is_poll_stale = self.times.is_poll_stale();
         if self.clients.is_disconnected(slot, is_poll_stale) {
-            let response = Response::empty(response::SHED_STATUS);
-            self.clients.respond(slot, response, now);
+            self.clients.respond(slot, Response::shed(None), now);
             return None;
         }
         let is_side_effecting = self.is_side_effecting(&block);
@@ -66,8 +65,7 @@
     /// Sheds a request that is not admitted.
     fn shed_request(&mut self, slot: ClientSlot, retry_after: Option<Tick>) {
         self.counters.shed += 1;
-        let response = Response::empty(response::SHED_STATUS)
-            .with_retry_after(retry_after.map(ticks_to_millis));
+        let response = Response::shed(retry_after.map(ticks_to_millis));
         self.clients.respond(slot, response, self.times.now_ms());
     }
 
--- a/crates/platform-host/src/dispatcher/final_responses.rs
+++ b/crates/platform-host/src/dispatcher/final_responses.rs
@@ -29,8 +29,7 @@
     /// Sheds a block I/O: it was not executed, and the client may retry it. `retry_after`: ticks after which the client
     /// may retry; the response states it, if there is one.
     pub(super) fn respond_shed(&mut self, io: BioId, retry_after: Option<Tick>) {
-        let response = Response::empty(response::SHED_STATUS)
-            .with_retry_after(retry_after.map(ticks_to_millis));
+        let response = Response::shed(retry_after.map(ticks_to_millis));
         self.counters.shed += u64::from(self.respond_final(io, response));
     }
 
