--- a/crates/gateway/tests/platform/departed_clients.rs
+++ b/crates/gateway/tests/platform/departed_clients.rs
@@ -1,12 +1,10 @@
 //! Clients that leave with requests that the host has not read.
+use crate::races::DISCONNECTS;
 use crate::support::client::{Client, write_text};
 use crate::support::host_process::HostProcess;
 use crate::support::node::Behavior;
 use crate::support::wait_until;
-use socket2::SockRef;
 use std::io::Write;
-use std::net::Shutdown;
-use std::time::Duration;
 
 /// Number of requests behind the first one.
 const BEHIND: usize = 60;
@@ -15,28 +13,11 @@
 /// Length of the bodies of requests that fill sockets, in bytes.
 const LONG_BODY_LEN: usize = 60_000;
 
-/// Ways in which a client leaves: it closes its connection, closes its sending side, or resets the connection.
-const DEPARTURES: [fn(Client); 3] = [
-    drop,
-    |client| {
-        client
-            .socket
-            .shutdown(Shutdown::Write)
-            .expect("the connection is open");
-        std::mem::forget(client);
-    },
-    |client| {
-        SockRef::from(&client.socket)
-            .set_linger(Some(Duration::ZERO))
-            .expect("the socket option can be set");
-    },
-];
-
 /// Guards against requests that are forwarded for a client that has left while they were still unread in its socket.
 #[test]
 fn requests_behind_the_first_are_not_forwarded_after_their_client_has_left() {
     let body = "x".repeat(BODY_LEN);
-    for (n, depart) in DEPARTURES.into_iter().enumerate() {
+    for (n, depart) in DISCONNECTS.into_iter().enumerate() {
         let host = HostProcess::new(1);
         host.nodes[0].behave_next(Behavior::Hold);
         let mut client = host.client();
@@ -59,7 +40,7 @@
 #[test]
 fn requests_in_a_row_are_not_forwarded_if_their_client_has_left_before_they_are_read() {
     let body = "x".repeat(BODY_LEN);
-    for (n, depart) in DEPARTURES.into_iter().enumerate() {
+    for (n, depart) in DISCONNECTS.into_iter().enumerate() {
         let host = HostProcess::new(1);
         host.suspend();
         let mut client = host.client();
--- a/crates/gateway/tests/platform/races.rs
+++ b/crates/gateway/tests/platform/races.rs
@@ -19,7 +19,7 @@
 }
 
 /// Ways in which a client disconnects: a close, a half-close, a reset, and a close after an incomplete second request.
-const DISCONNECTS: [fn(Client); 4] = [
+pub(crate) const DISCONNECTS: [fn(Client); 4] = [
     drop,
     |client| {
         client
