--- a/crates/gateway/tests/platform/departed_clients.rs
+++ b/crates/gateway/tests/platform/departed_clients.rs
@@ -10,8 +10,9 @@
 const BEHIND: usize = 60;
 /// Length of their bodies in bytes.
 const BODY_LEN: usize = 1_000;
-/// Length of the bodies of requests that fill sockets, in bytes.
-const LONG_BODY_LEN: usize = 60_000;
+/// Lengths of the bodies of requests that fill sockets, in bytes: the host reads several of the short ones at once, and a
+/// long one in pieces.
+const FILLING_BODY_LENS: [usize; 2] = [BODY_LEN, 60_000];
 
 /// Guards against requests that are forwarded for a client that has left while they were still unread in its socket.
 #[test]
@@ -57,8 +58,8 @@
 
 /// Writes requests until the host's socket and the client's own take no more, so that the end of the stream cannot reach
 /// the host before it reads.
-fn fill_sockets(client: &mut Client) {
-    let body = "x".repeat(LONG_BODY_LEN);
+fn fill_sockets(client: &mut Client, body_len: usize) {
+    let body = "x".repeat(body_len);
     client
         .socket
         .set_nonblocking(true)
@@ -75,17 +76,19 @@
 /// stream lies behind more unread bytes than a socket holds, so the reset is all that shows the departure.
 #[test]
 fn a_departure_behind_many_unread_bytes_is_noticed_with_the_first_answer() {
-    let host = HostProcess::new(1);
-    host.nodes[0].behave_next(Behavior::Hold);
-    let mut client = host.client();
-    client.send(&write_text("first", 0, "text", 1_900));
-    wait_until("the first request is at its node", || {
-        host.nodes[0].received().len() == 1
-    });
-    fill_sockets(&mut client);
-    drop(client);
-    host.nodes[0].release_held();
-    assert_eq!(host.client().write("other", 0, "text").0, 200);
-    let ids: Vec<String> = host.nodes[0].received().into_iter().map(|r| r.id).collect();
-    assert_eq!(ids, ["first", "other"]);
+    for body_len in FILLING_BODY_LENS {
+        let host = HostProcess::new(1);
+        host.nodes[0].behave_next(Behavior::Hold);
+        let mut client = host.client();
+        client.send(&write_text("first", 0, "text", 1_900));
+        wait_until("the first request is at its node", || {
+            host.nodes[0].received().len() == 1
+        });
+        fill_sockets(&mut client, body_len);
+        drop(client);
+        host.nodes[0].release_held();
+        assert_eq!(host.client().write("other", 0, "text").0, 200);
+        let ids: Vec<String> = host.nodes[0].received().into_iter().map(|r| r.id).collect();
+        assert_eq!(ids, ["first", "other"], "bodies of {body_len} bytes");
+    }
 }
