End a flush when a full socket has taken no byte of the last requests

Where the socket takes no byte at all of a batch, every request returns to the queue and the buffer is empty again. The next turn of the loop finds nothing unsent, takes the socket for free and encodes the same requests again, until the node reads: the event loop would spin and serve nobody. It needs a socket that is full exactly at the end of a batch.

Change: the flush ends once a request was taken back; the poll reports when the socket takes bytes again.

Not shown by a run: no test forces a socket that is full at that very byte.

--- a/crates/iscsi-host/src/node_connections/node.rs
+++ b/crates/iscsi-host/src/node_connections/node.rs
@@ -257,13 +257,19 @@
                 }
             }
             link.write()?;
+            let mut would_block = false;
             while let Some(request) = self.encoded.pop() {
                 if !link.connection.take_back_command(request.tag) {
                     break;
                 }
                 self.queue.push_front(request);
+                would_block = true;
             }
             self.encoded.clear();
+            if would_block {
+                // The buffer may be empty now, so that the next write would not show it.
+                break;
+            }
         }
         Ok(())
     }
